Lay out the workspace and the shared vocabulary

Cause: the slices are to grow side by side, so the names, the time, the verdict, the settings, the rule types and the event numbers come first.

--- /dev/null
+++ b/crates/pimento_admit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission: slots, queues, classes, fair shares and adaptive limits.
--- /dev/null
+++ b/crates/pimento_bench/benches/decisions.rs
@@ -0,0 +1,3 @@
+//! The decisions bench.
+
+fn main() {}
--- /dev/null
+++ b/crates/pimento_bench/benches/durable.rs
@@ -0,0 +1,3 @@
+//! The durable bench.
+
+fn main() {}
--- /dev/null
+++ b/crates/pimento_bench/benches/policy.rs
@@ -0,0 +1,3 @@
+//! The policy bench.
+
+fn main() {}
--- /dev/null
+++ b/crates/pimento_bench/benches/scale.rs
@@ -0,0 +1,3 @@
+//! The scale bench.
+
+fn main() {}
--- /dev/null
+++ b/crates/pimento_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Criterion benches and the policy and scale benches of pimentolanding.
--- /dev/null
+++ b/crates/pimento_cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/pimento_consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log as a pure state machine.
--- /dev/null
+++ b/crates/pimento_control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control role: consensus, storage and replicated state behind one actor.
--- /dev/null
+++ b/crates/pimento_core/src/time.rs
@@ -0,0 +1,68 @@
+//! Monotonic time as the decision cores see it.
+
+use std::{
+    ops::{Add, AddAssign, Sub},
+    time::Duration,
+};
+
+/// A reading of one process's monotonic clock, in microseconds since an
+/// arbitrary origin.
+///
+/// Readings of two processes are never compared: only the rates of their clocks
+/// matter. Tests hand in virtual time.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Time(u64);
+
+impl Time {
+    /// The origin of the clock.
+    pub const ZERO: Self = Self(0);
+
+    /// A reading of `micros` microseconds after the origin.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// A reading of `millis` milliseconds after the origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis.saturating_mul(1_000))
+    }
+
+    /// Microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Whole milliseconds since the origin.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// The time that has passed since `earlier`, or zero if it lies ahead.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl AddAssign<Duration> for Time {
+    fn add_assign(&mut self, rhs: Duration) {
+        *self = *self + rhs;
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    fn sub(self, rhs: Duration) -> Self {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
--- /dev/null
+++ b/crates/pimento_ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once claims, stored answers and caps as a pure state machine.
--- /dev/null
+++ b/crates/pimento_load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load tool that behaves as a caller.
--- /dev/null
+++ b/crates/pimento_log/src/lib.rs
@@ -0,0 +1,26 @@
+//! Structured logs with numbered events.
+//!
+//! Every log line carries the number of its event; `docs/EVENTS.md` is the
+//! catalogue. Use it as `event!(log, Event::VmStarted, "vm" => %name)`.
+
+mod event;
+mod root;
+
+pub use event::Event;
+pub use root::{discard, root};
+pub use slog::Logger;
+
+/// Logs a numbered event with its level, number, name and fields.
+#[macro_export]
+macro_rules! event {
+    ($log:expr, $event:expr $(, $($rest:tt)*)?) => {{
+        let event = $event;
+        $crate::__slog::log!(
+            $log, event.level(), "", "{}", event.text();
+            "event" => event.number(), $($($rest)*)?
+        )
+    }};
+}
+
+#[doc(hidden)]
+pub use slog as __slog;
--- /dev/null
+++ b/crates/pimento_members/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership inside a failure domain and summaries between domains.
--- /dev/null
+++ b/crates/pimento_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in targets for tests, examples and the development mode.
--- /dev/null
+++ b/crates/pimento_state/src/lib.rs
@@ -0,0 +1,11 @@
+//! The replicated state: release notes and ledger behind one command type.
+//!
+//! The control group replicates encoded [`Command`]s; every control VM applies
+//! them in the order of the log and reaches the same [`State`] and the same
+//! [`Outcome`]. See `docs/design/ledger.md` and `docs/design/notes.md`.
+
+mod command;
+mod state;
+
+pub use command::{Command, Outcome};
+pub use state::{RestoreError, State};
--- /dev/null
+++ b/crates/pimento_steer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Steering: look-ups by block, headroom, link budgets and retries.
--- /dev/null
+++ b/crates/pimento_storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable log and snapshots in one data folder.
