--- a/crates/pimento_core/src/lib.rs
+++ b/crates/pimento_core/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use class::{Class, ParseClassError};
 pub use name::{DomainId, NameError, RegionId, ServiceId, TargetId, TenantId, VmId};
-pub use time::Time;
+pub use time::{Clock, Time};
 pub use verdict::{ParseVerdictError, Verdict};
 
 /// The types that nearly every crate of the workspace imports.
--- a/crates/pimento_core/src/time.rs
+++ b/crates/pimento_core/src/time.rs
@@ -2,7 +2,7 @@
 
 use std::{
     ops::{Add, AddAssign, Sub},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// A reading of one process's monotonic clock, in microseconds since an
@@ -66,3 +66,21 @@
         Self(self.0.saturating_sub(micros))
     }
 }
+
+/// The monotonic clock of this process, read only at the process's edge.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock(Instant);
+
+impl Clock {
+    /// Starts a clock with its origin now.
+    #[must_use]
+    pub fn start() -> Self {
+        Self(Instant::now())
+    }
+
+    /// Reads the clock.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        Time::ZERO + self.0.elapsed()
+    }
+}
--- a/crates/pimento_log/src/lib.rs
+++ b/crates/pimento_log/src/lib.rs
@@ -14,10 +14,10 @@
 #[macro_export]
 macro_rules! event {
     ($log:expr, $event:expr $(, $($rest:tt)*)?) => {{
-        let event = $event;
+        const EVENT: $crate::Event = $event;
         $crate::__slog::log!(
-            $log, event.level(), "", "{}", event.text();
-            "event" => event.number(), $($($rest)*)?
+            $log, EVENT.level(), "", "{}", EVENT.text();
+            "event" => EVENT.number() $(, $($rest)*)?
         )
     }};
 }
