Serve the whole path on one VM

Cause: a caller, a target and an operator need one working path before its parts are deepened. Change: listeners for callers, targets, operators and forwarded requests; bodies streamed both ways with limits; RFC 9457 problems with a verdict; a planned stop that waits for cached look-ups and open requests; pimentod run, check and dev.

--- /dev/null
+++ b/crates/pimento_entry/src/forward.rs
@@ -0,0 +1,56 @@
+//! Sending a request to the entry VM that holds a target's lease.
+
+use crate::{
+    answer::Answer,
+    body::Body,
+    headers,
+    hops::Failure,
+    inbound::Inbound,
+    problem::Problem,
+    shared::Shared,
+    upstream::{self, Clients},
+};
+use pimento_core::Verdict;
+use std::net::SocketAddr;
+
+/// Sends a request to another entry VM and takes the answer.
+pub(crate) async fn send(
+    shared: &Shared,
+    clients: &Clients,
+    inbound: &Inbound,
+    body: Body,
+    to: SocketAddr,
+) -> Result<Answer, Failure> {
+    let url = format!("http://{to}/f/{}{}", inbound.service.name, inbound.path);
+    let extra = [
+        (headers::LINK, shared.proof.as_str()),
+        (headers::ORIGIN, shared.settings.region.as_str()),
+    ];
+    let limit = inbound.deadline.since(shared.clock.now());
+    let answer = upstream::exchange(shared, clients, inbound, body, url, &extra, limit)
+        .await
+        .map_err(|lost| Failure::from(lost.problem))?;
+    match answer.verdict() {
+        Some(verdict) => Err(failure(answer, verdict).await),
+        None => Ok(answer),
+    }
+}
+
+/// The largest problem that is read from another entry VM, in bytes.
+const PROBLEM: usize = 16 << 10;
+
+/// Takes over the failure that another entry VM reported.
+async fn failure(answer: Answer, verdict: Verdict) -> Failure {
+    let status = answer.status;
+    let detail = match answer.hold(PROBLEM).await {
+        Ok((Some(body), _)) => detail(&body),
+        Ok((None, _)) | Err(_) => None,
+    };
+    let detail = detail.unwrap_or_else(|| "another entry VM could not answer".into());
+    Failure::from(Problem::new(status, "forward", detail).with(verdict))
+}
+
+fn detail(body: &[u8]) -> Option<String> {
+    let problem: serde_json::Value = serde_json::from_slice(body).ok()?;
+    Some(problem.get("detail")?.as_str()?.to_owned())
+}
--- a/crates/pimento_entry/src/lib.rs
+++ b/crates/pimento_entry/src/lib.rs
@@ -1,1 +1,30 @@
 //! The entry role: listeners for callers, targets and operators, and the proxy.
+//!
+//! The [`Node`] actor owns the decision cores of an entry VM; the listeners run
+//! on worker threads and ask it. `docs/ARCHITECTURE.md` follows a request
+//! through them.
+
+mod announce;
+mod answer;
+mod body;
+mod callers;
+mod dispatch;
+mod forward;
+mod forwards;
+mod headers;
+mod hops;
+mod inbound;
+mod install;
+mod metrics;
+mod node;
+mod operators;
+mod permit;
+mod problem;
+mod shared;
+mod stop;
+mod thin;
+mod upstream;
+
+pub use install::{Entry, Sockets};
+pub use node::Node;
+pub use problem::Problem;
--- /dev/null
+++ b/crates/pimento_entry/src/problem.rs
@@ -0,0 +1,79 @@
+//! Errors of the HTTP interfaces as RFC 9457 problem details.
+
+use actix_web::{HttpResponse, HttpResponseBuilder, ResponseError, http::StatusCode};
+use pimento_core::Verdict;
+use serde::Serialize;
+use std::fmt;
+
+/// The media type of problem details.
+const MEDIA_TYPE: &str = "application/problem+json";
+
+/// Why a call to one of the HTTP interfaces failed.
+#[derive(Clone, Debug, Serialize)]
+pub struct Problem {
+    /// The HTTP status.
+    pub status: u16,
+    /// A short, stable name of the failure.
+    pub title: &'static str,
+    /// What went wrong this time.
+    pub detail: String,
+    /// The field of the input at fault.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub field: Option<String>,
+    /// Whether the request may have run.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub verdict: Option<Verdict>,
+}
+
+impl Problem {
+    /// A failure without a verdict, for interfaces that run nothing at targets.
+    pub fn new(status: StatusCode, title: &'static str, detail: impl Into<String>) -> Self {
+        Self {
+            status: status.as_u16(),
+            title,
+            detail: detail.into(),
+            field: None,
+            verdict: None,
+        }
+    }
+
+    /// A request that certainly did not run.
+    pub fn not_run(status: StatusCode, title: &'static str, detail: impl Into<String>) -> Self {
+        Self::new(status, title, detail).with(Verdict::NotRun)
+    }
+
+    /// Adds a verdict.
+    #[must_use]
+    pub fn with(mut self, verdict: Verdict) -> Self {
+        self.verdict = Some(verdict);
+        self
+    }
+
+    /// Names the field at fault.
+    #[must_use]
+    pub fn field(mut self, field: impl Into<String>) -> Self {
+        self.field = Some(field.into());
+        self
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.title, self.detail)
+    }
+}
+
+impl ResponseError for Problem {
+    fn status_code(&self) -> StatusCode {
+        StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+    }
+
+    fn error_response(&self) -> HttpResponse {
+        let mut response = HttpResponseBuilder::new(self.status_code());
+        if let Some(verdict) = self.verdict {
+            response.insert_header((Verdict::HEADER, verdict.as_str()));
+        }
+        let body = serde_json::to_vec(self).unwrap_or_default();
+        response.content_type(MEDIA_TYPE).body(body)
+    }
+}
--- /dev/null
+++ b/crates/pimento_entry/src/shared.rs
@@ -0,0 +1,104 @@
+//! What the listeners of one process share.
+
+use crate::{Node, metrics::Metrics};
+use actix::Addr;
+use arc_swap::ArcSwap;
+use pimento_core::Clock;
+use pimento_log::Logger;
+use pimento_rules::Rules;
+use pimento_settings::Settings;
+use std::{
+    sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+/// The state that worker threads read, and the way to the node.
+#[derive(Debug)]
+#[expect(
+    dead_code,
+    reason = "the single-VM path has no instances to tell apart"
+)]
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) log: Logger,
+    pub(crate) node: Addr<Node>,
+    pub(crate) rules: ArcSwap<Rules>,
+    pub(crate) metrics: Metrics,
+    /// The bearer token of operators.
+    pub(crate) token: String,
+    /// The proof of the shared key on forwarded requests.
+    pub(crate) proof: String,
+    /// The start of this process, in milliseconds since the Unix epoch.
+    pub(crate) instance: u64,
+    pub(crate) stopping: AtomicBool,
+    pub(crate) open: AtomicUsize,
+    ids: AtomicU64,
+}
+
+/// What [`Shared`] is made of.
+#[derive(Debug)]
+pub(crate) struct Parts {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) log: Logger,
+    pub(crate) node: Addr<Node>,
+    pub(crate) metrics: Metrics,
+    pub(crate) token: String,
+    pub(crate) proof: String,
+    pub(crate) instance: u64,
+}
+
+impl Shared {
+    pub(crate) fn new(parts: Parts) -> Self {
+        Self {
+            settings: parts.settings,
+            clock: parts.clock,
+            log: parts.log,
+            node: parts.node,
+            rules: ArcSwap::default(),
+            metrics: parts.metrics,
+            token: parts.token,
+            proof: parts.proof,
+            instance: parts.instance,
+            stopping: AtomicBool::new(false),
+            open: AtomicUsize::new(0),
+            ids: AtomicU64::new(1),
+        }
+    }
+
+    /// A number for a request, unique in this process.
+    pub(crate) fn next_id(&self) -> u64 {
+        self.ids.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Whether the process no longer takes part in look-ups.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+}
+
+/// The wall clock, in milliseconds since the Unix epoch.
+pub(crate) fn unix_millis() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    since.as_millis() as u64
+}
+
+/// Counts an open request until it is dropped, so that a planned stop can wait.
+#[derive(Debug)]
+pub(crate) struct OpenRequest(actix_web::web::Data<Shared>);
+
+impl OpenRequest {
+    pub(crate) fn begin(shared: &actix_web::web::Data<Shared>) -> Self {
+        shared.open.fetch_add(1, Ordering::AcqRel);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/pimento_entry/src/stop.rs
@@ -0,0 +1,28 @@
+//! A planned stop that cuts off no request in flight.
+
+use crate::shared::Shared;
+use actix_web::dev::ServerHandle;
+use pimento_log::{Event, event};
+use std::{sync::atomic::Ordering, time::Duration};
+
+/// The time between two looks at the requests in flight.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Serves until cached answers have expired and requests in flight have ended.
+pub(crate) async fn run(shared: &Shared, servers: &[ServerHandle]) {
+    shared.stopping.store(true, Ordering::Release);
+    event!(shared.log, Event::StopBegun);
+    let rules = shared.rules.load();
+    let ttl = rules.services.iter().map(|s| s.ttl).max().unwrap_or(0);
+    let longest = rules.services.iter().map(|s| s.timeout).max().unwrap_or(0);
+    tokio::time::sleep(Duration::from_millis(u64::from(ttl))).await;
+    let end = shared.clock.now() + Duration::from_millis(u64::from(longest));
+    while shared.open.load(Ordering::Acquire) > 0 && shared.clock.now() < end {
+        tokio::time::sleep(POLL).await;
+    }
+    let cut = shared.open.load(Ordering::Acquire);
+    for server in servers {
+        server.stop(true).await;
+    }
+    event!(shared.log, Event::StopEnded, "cut" => cut);
+}
--- a/crates/pimento_link/tests/links.rs
+++ b/crates/pimento_link/tests/links.rs
@@ -21,9 +21,9 @@
 impl Handler<Incoming> for Echo {
     type Result = ();
 
-    fn handle(&mut self, message: Incoming, _ctx: &mut Self::Context) {
-        if let Some(reply) = message.reply {
-            reply.send(message.payload);
+    fn handle(&mut self, msg: Incoming, _ctx: &mut Self::Context) {
+        if let Some(reply) = msg.reply {
+            reply.send(msg.payload);
         }
     }
 }
