--- /dev/null
+++ b/crates/pimento_lease/src/effect.rs
@@ -0,0 +1,40 @@
+//! What changes at an entry VM when a lease does.
+
+use pimento_core::{TargetId, Time};
+
+/// A change that the admission of requests must follow.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// This VM became the holder and may send from `from` on.
+    Taken {
+        /// The target.
+        target: TargetId,
+        /// The end of the wait for the former holder's lease.
+        from: Time,
+        /// The epoch of the lease.
+        epoch: u64,
+    },
+    /// The target's facts, state, report or carried slots changed.
+    Changed {
+        /// The target.
+        target: TargetId,
+    },
+    /// This VM may no longer send to the target.
+    Lost {
+        /// The target.
+        target: TargetId,
+        /// Why the lease ended.
+        cause: Cause,
+    },
+}
+
+/// Why a lease ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// The target has not echoed a token for one term.
+    Expired,
+    /// The target echoed a newer epoch.
+    Superseded,
+    /// The target's process restarted.
+    Restarted,
+}
--- /dev/null
+++ b/crates/pimento_lease/tests/common/mod.rs
@@ -0,0 +1,52 @@
+//! Names, addresses and short-cuts for the tests of the lease.
+
+use pimento_core::{Time, VmId};
+use pimento_lease::{Announcer, Candidate, Facts, LeaseConfig, Leases};
+use std::{net::SocketAddr, time::Duration};
+
+/// A reading of the test's clock.
+pub fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+/// The listener of the entry VM with a number.
+pub fn listener(vm: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + vm))
+}
+
+/// The entry VM with a number.
+pub fn candidate(vm: u16) -> Candidate {
+    Candidate {
+        vm: VmId::new(format!("vm{vm}")).expect("good name"),
+        listener: listener(vm),
+    }
+}
+
+/// The terms of the tests: a lease of two seconds, announced twice a second.
+pub fn config(vm: u16, instance: u64) -> LeaseConfig {
+    LeaseConfig {
+        term: Duration::from_secs(2),
+        drift: 5,
+        interval: Duration::from_millis(500),
+        carry: Duration::from_secs(30),
+        ..LeaseConfig::new(candidate(vm).vm, listener(vm), instance)
+    }
+}
+
+/// An entry VM without leases.
+pub fn leases(vm: u16) -> Leases {
+    Leases::new(config(vm, 1))
+}
+
+/// A target process that knows the entry VMs with these numbers.
+pub fn target(life: u64, vms: impl Iterator<Item = u16>) -> Announcer {
+    let facts = Facts {
+        target: "t1".parse().expect("good name"),
+        instance: life,
+        service: "sign-ups".parse().expect("good name"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        slots: 6,
+        connections: 700,
+    };
+    Announcer::new(facts, vms.map(listener).collect(), life)
+}
