Add stand-in targets that announce, answer and count

Tests, the development mode and the end-to-end run need targets that can misbehave on demand and that witness what the system may never do to them. pimento_standin serves echoes after a service time, announces itself, can shed, stall, truncate, answer late or wrong or not at all, and counts overruns of its slots, repeated keys and cancelled runs. examples/target runs one as a process.

Half-closed connections end a run, since actix-web otherwise keeps running for a caller that has left.

--- /dev/null
+++ b/crates/pimento_standin/tests/counts.rs
@@ -0,0 +1,83 @@
+//! Stand-in targets count what must never happen to them.
+
+use awc::Client;
+use futures_util::future::join_all;
+use pimento_core::{ServiceId, TargetId};
+use pimento_standin::{Counters, Standin, StandinConfig};
+use std::time::Duration;
+
+fn start(slots: u32) -> Standin {
+    let target = TargetId::new("t1").expect("a name");
+    let service = ServiceId::new("shifts").expect("a name");
+    let config = StandinConfig {
+        slots,
+        ..StandinConfig::new(target, service)
+    };
+    Standin::start(config).expect("a free port")
+}
+
+async fn call(standin: &Standin, client: &Client, work: u64, key: &str) {
+    let url = format!("http://{}/?nonce=n&work={work}", standin.address());
+    let request = client.get(url).insert_header(("idempotency-key", key));
+    let mut response = request.send().await.expect("an answer");
+    response.body().await.expect("a whole body");
+}
+
+/// Waits until the counts are as expected, for two seconds at most.
+async fn settle(standin: &Standin, expected: impl Fn(&Counters) -> bool) -> Counters {
+    for _ in 0..200 {
+        if expected(&standin.counters()) {
+            break;
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    standin.counters()
+}
+
+#[actix_rt::test]
+async fn repeated_key() {
+    let standin = start(4);
+    let client = Client::default();
+    call(&standin, &client, 0, "a").await;
+    call(&standin, &client, 0, "b").await;
+    assert_eq!(standin.counters().duplicates, 0);
+    call(&standin, &client, 0, "a").await;
+    let counters = standin.counters();
+    assert_eq!(counters.duplicates, 1);
+    let keys: Vec<_> = counters.keys.iter().map(|k| (&*k.key, k.runs)).collect();
+    assert_eq!(keys, [("a", 2)]);
+}
+
+#[actix_rt::test]
+async fn slot_overrun() {
+    let standin = start(2);
+    let client = Client::default();
+    join_all((0..2).map(|_| call(&standin, &client, 100, "a"))).await;
+    assert_eq!(standin.counters().overruns, 0);
+    join_all((0..3).map(|_| call(&standin, &client, 100, "a"))).await;
+    let counters = standin.counters();
+    assert_eq!((counters.overruns, counters.peak), (1, 3));
+}
+
+#[actix_rt::test]
+async fn caller_leaves() {
+    let standin = start(1);
+    let client = Client::builder()
+        .timeout(Duration::from_millis(50))
+        .finish();
+    let url = format!("http://{}/?nonce=n&work=60000", standin.address());
+    client.get(url).send().await.expect_err("a timeout");
+    let counters = settle(&standin, |c| c.cancelled == 1).await;
+    assert_eq!((counters.cancelled, counters.running), (1, 0));
+}
+
+#[actix_rt::test]
+async fn open_connections() {
+    let standin = start(4);
+    let client = Client::default();
+    join_all((0..3).map(|_| call(&standin, &client, 50, "a"))).await;
+    assert_eq!(standin.counters().connections, 3);
+    drop(client);
+    let counters = settle(&standin, |c| c.connections == 0).await;
+    assert_eq!(counters.connections, 0);
+}
--- /dev/null
+++ b/crates/pimento_standin/tests/faults.rs
@@ -0,0 +1,122 @@
+//! Each fault of a stand-in target is what its caller sees.
+
+use awc::{Client, error::SendRequestError};
+use bytes::Bytes;
+use pimento_core::{ServiceId, TargetId};
+use pimento_standin::{Fault, ServiceTime, Standin, StandinConfig};
+use std::time::Duration;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+fn config(fault: Fault) -> StandinConfig {
+    let target = TargetId::new("t1").expect("a name");
+    let service = ServiceId::new("shifts").expect("a name");
+    StandinConfig {
+        time: ServiceTime::Fixed(Duration::from_millis(1)),
+        fault,
+        ..StandinConfig::new(target, service)
+    }
+}
+
+fn start(fault: Fault) -> Standin {
+    Standin::start(config(fault)).expect("a free port")
+}
+
+fn client(timeout: Duration) -> Client {
+    Client::builder().timeout(timeout).finish()
+}
+
+async fn post(standin: &Standin, query: &str, body: &'static str) -> (u16, Option<Bytes>) {
+    let url = format!("http://{}/depot/7?{query}", standin.address());
+    let request = client(Duration::from_secs(5)).post(url);
+    let mut response = request.send_body(body).await.expect("a response");
+    (response.status().as_u16(), response.body().await.ok())
+}
+
+#[actix_rt::test]
+async fn echoed_body() {
+    let standin = start(Fault::None);
+    let (status, body) = post(&standin, "size=7", "abc").await;
+    assert_eq!((status, body), (200, Some("abcabca".into())));
+    assert_eq!(standin.counters().finished, 1);
+}
+
+/// Reads all that a target sends; awc passes over an early end.
+async fn raw(standin: &Standin) -> String {
+    let mut stream = TcpStream::connect(standin.address())
+        .await
+        .expect("a connection");
+    let head = "GET /?nonce=abc&size=1000 HTTP/1.1\r\nhost: t1\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.expect("a request");
+    let mut text = String::new();
+    let read = stream.read_to_string(&mut text);
+    let wait = tokio::time::timeout(Duration::from_secs(5), read);
+    wait.await.expect("an end").expect("a response");
+    text
+}
+
+#[actix_rt::test]
+async fn truncated_length() {
+    let standin = start(Fault::Truncated { chunked: false });
+    let text = raw(&standin).await;
+    let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+    assert!(head.contains("content-length: 1000"), "{head}");
+    assert_eq!(body.len(), 500);
+}
+
+#[actix_rt::test]
+async fn truncated_chunks() {
+    let standin = start(Fault::Truncated { chunked: true });
+    let text = raw(&standin).await;
+    assert!(text.contains("transfer-encoding: chunked"), "{text}");
+    assert!(!text.ends_with("0\r\n\r\n"), "{text}");
+}
+
+#[actix_rt::test]
+async fn shed_requests() {
+    let standin = start(Fault::Shed { percent: 100 });
+    assert_eq!(post(&standin, "", "abc").await.0, 503);
+    let counters = standin.counters();
+    assert_eq!((counters.runs, counters.refused), (0, 1));
+}
+
+#[actix_rt::test]
+async fn wrong_answer() {
+    let standin = start(Fault::Wrong);
+    let body = post(&standin, "", "abc").await.1.expect("a whole body");
+    assert_ne!(body, "abc");
+}
+
+#[actix_rt::test]
+async fn draining_refuses() {
+    let standin = start(Fault::None);
+    standin.drain();
+    assert_eq!(post(&standin, "", "abc").await.0, 503);
+}
+
+#[actix_rt::test]
+async fn silent_run() {
+    let standin = start(Fault::Silent);
+    let url = format!("http://{}/", standin.address());
+    let sent = client(Duration::from_millis(100)).get(url).send().await;
+    assert!(matches!(sent, Err(SendRequestError::Timeout)));
+    assert_eq!(standin.counters().finished, 1);
+}
+
+#[actix_rt::test]
+async fn stalled_connection() {
+    let standin = start(Fault::None);
+    let url = format!("http://{}/?nonce=n", standin.address());
+    let old = client(Duration::from_millis(200));
+    let mut response = old.get(&url).send().await.expect("an answer");
+    response.body().await.expect("a whole body");
+    standin.set_fault(Fault::Stalled);
+    let sent = old.get(&url).send().await;
+    assert!(matches!(sent, Err(SendRequestError::Timeout)));
+    let new = client(Duration::from_secs(5));
+    let response = new.get(&url).send().await.expect("an answer");
+    assert!(response.status().is_success());
+    assert_eq!(standin.counters().runs, 2);
+}
