--- a/crates/pimento_entry/src/dispatch.rs
+++ b/crates/pimento_entry/src/dispatch.rs
@@ -5,7 +5,7 @@
     body::Body,
     hops::Failure,
     inbound::Inbound,
-    permit::{Ending, Permit, Refusal, Submit, Waiting},
+    permit::{Permit, Refusal, Submit, Waiting},
     problem::Problem,
     shared::Shared,
     upstream::{self, Clients},
@@ -13,6 +13,7 @@
 use actix_web::http::StatusCode;
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
+use pimento_admit::{Ending, Reason};
 use pimento_core::{TargetId, Time, Verdict};
 use std::io;
 use tokio::sync::oneshot;
@@ -87,15 +88,15 @@
                 ending: Ending::Cancelled,
             })
         }
-        Err(refusal) => Err(Failure::from(refused(&refusal))),
+        Err(refusal) => Err(Failure::from(refused(refusal))),
     }
 }
 
-fn refused(refusal: &Refusal) -> Problem {
+fn refused(refusal: Refusal) -> Problem {
     let (title, detail) = match refusal {
         Refusal::NoService => ("no-service", "the rules of this VM do not have the service"),
-        Refusal::NoTarget => ("no-target", "this VM holds no target of the service"),
-        Refusal::Busy => ("busy", "no target can answer before the deadline"),
+        Refusal::Admit(Reason::NoTarget) => ("no-target", "this VM holds no usable target"),
+        Refusal::Admit(reason) => (reason.as_str(), "no target can answer in time"),
         Refusal::Stopping => ("stopping", "this VM is stopping"),
     };
     Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, title, detail)
--- a/crates/pimento_entry/src/install.rs
+++ b/crates/pimento_entry/src/install.rs
@@ -3,6 +3,7 @@
 use crate::{
     Node, announce, callers, forwards,
     metrics::Metrics,
+    node::NodeParts,
     operators,
     shared::{Parts, Shared, unix_millis},
     stop,
@@ -87,8 +88,14 @@
     ) -> anyhow::Result<Self> {
         let clock = Clock::start();
         let instance = unix_millis();
-        let node = Node::new(settings.clone(), clock, instance).start();
-        drop(links);
+        let parts = NodeParts {
+            settings: settings.clone(),
+            clock,
+            links,
+            log: log.clone(),
+            instance,
+        };
+        let node = Node::new(parts).start();
         let shared = web::Data::new(Shared::new(Parts {
             settings: settings.clone(),
             clock,
@@ -133,6 +140,7 @@
         })
         .workers(workers)
         .max_connections(limits.connections.div_ceil(workers))
+        .h1_allow_half_closed(false)
         .client_request_timeout(Duration::from_millis(limits.head))
         .disable_signals()
         .listen(listener)?
--- /dev/null
+++ b/crates/pimento_entry/src/node/leasing.rs
@@ -0,0 +1,133 @@
+//! Target leases and what they change in admission.
+
+use super::{Announce, BeginStop, Drain, Node};
+use actix::prelude::*;
+use pimento_admit::{Report, TargetView};
+use pimento_core::{TargetId, Time, VmId};
+use pimento_lease::{Candidate, Effect, Release};
+use pimento_link::Channel;
+use pimento_log::{Event, event};
+use prost::Message as _;
+use std::net::SocketAddr;
+
+impl Handler<Announce> for Node {
+    type Result = MessageResult<Announce>;
+
+    fn handle(&mut self, msg: Announce, _ctx: &mut Self::Context) -> Self::Result {
+        let now = self.now();
+        let live = self.live();
+        let (reply, effects) = self.leases.announce(now, &msg.report, &live);
+        self.leased(now, effects);
+        MessageResult::<Announce>(reply)
+    }
+}
+
+impl Handler<Drain> for Node {
+    type Result = bool;
+
+    fn handle(&mut self, msg: Drain, _ctx: &mut Self::Context) -> bool {
+        let now = self.now();
+        let effects = self.leases.drain(&msg.target, true);
+        let known = !effects.is_empty();
+        self.leased(now, effects);
+        known
+    }
+}
+
+impl Handler<BeginStop> for Node {
+    type Result = ();
+
+    fn handle(&mut self, _msg: BeginStop, _ctx: &mut Self::Context) {
+        self.stopping = true;
+        self.release_all();
+    }
+}
+
+impl Node {
+    pub(super) fn tick_leases(&mut self) {
+        let now = self.now();
+        let held: Vec<TargetId> = self.leases.held(now).map(|v| v.target.clone()).collect();
+        for target in held {
+            let used = self.admit.in_use(&target);
+            self.leases.set_used(&target, used);
+            self.offer(now, &target);
+        }
+        let effects = self.leases.tick(now);
+        self.leased(now, effects);
+        if self.stopping {
+            self.release_all();
+        }
+    }
+
+    /// Follows changes of leases in admission.
+    fn leased(&mut self, now: Time, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Taken { target, epoch, .. } => {
+                    event!(self.log, Event::LeaseTaken, "target" => %target, "epoch" => epoch);
+                    self.offer(now, &target);
+                }
+                Effect::Changed { target } => self.offer(now, &target),
+                Effect::Lost { target, cause } => {
+                    event!(self.log, Event::LeaseLost, "target" => %target, "cause" => ?cause);
+                    let effects = self.admit.drop_target(now, &target);
+                    self.admitted(now, effects);
+                }
+            }
+        }
+    }
+
+    /// Offers a held target's slots once this VM may send to it.
+    fn offer(&mut self, now: Time, target: &TargetId) {
+        if self.leases.permit(now, target).is_none() {
+            return;
+        }
+        let Some(view) = self.leases.view(now, target) else {
+            return;
+        };
+        let report = Report {
+            load: view.load,
+            time: view.heard,
+        };
+        let view = TargetView {
+            target: view.target.clone(),
+            service: view.service.clone(),
+            slots: view.slots,
+            connections: view.connections,
+            state: view.state,
+            report: Some(report),
+            carried: view.carried,
+        };
+        let effects = self.admit.set_target(now, view);
+        self.admitted(now, effects);
+    }
+
+    /// Hands all leases over to other VMs of the failure domain.
+    fn release_all(&mut self) {
+        let now = self.now();
+        let live = self.live();
+        let held: Vec<TargetId> = self.leases.held(now).map(|v| v.target.clone()).collect();
+        for target in held {
+            let used = self.admit.in_use(&target);
+            if let Some((to, release)) = self.leases.release(now, &target, used, &live) {
+                self.hand_over(&to, &release);
+                let effects = self.admit.drop_target(now, &target);
+                self.admitted(now, effects);
+            }
+        }
+    }
+}
+
+impl Node {
+    /// Tells the next holder of a released lease.
+    fn hand_over(&self, to: &Candidate, release: &Release) {
+        if let Some(link) = self.link_of(&to.vm) {
+            let payload = release.encode_to_vec().into();
+            self.links.send(link, Channel::Lease, payload);
+        }
+    }
+
+    fn link_of(&self, vm: &VmId) -> Option<SocketAddr> {
+        (*vm == self.settings.vm).then_some(self.settings.listen.links)
+    }
+}
--- a/crates/pimento_entry/src/permit.rs
+++ b/crates/pimento_entry/src/permit.rs
@@ -7,8 +7,9 @@
 
 use crate::Node;
 use actix::prelude::*;
+use pimento_admit::{Ending, Reason};
 use pimento_core::{Class, ServiceId, TargetId, TenantId, Time};
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 use tokio::sync::oneshot;
 
 /// Asks the node for a slot at a target whose lease it holds.
@@ -41,32 +42,13 @@
     pub(crate) ending: Ending,
 }
 
-/// How the use of a slot ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Ending {
-    /// The answer arrived whole.
-    Ok { latency: Duration },
-    /// The target refused the request before running it.
-    Shed,
-    /// The target could not be reached.
-    Unreachable,
-    /// The target failed while it had the request.
-    Failed,
-    /// The target did not answer in time.
-    Silent,
-    /// The caller left; the connection to the target is closed.
-    Cancelled,
-}
-
 /// The node could not give a slot; the request did not run.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Refusal {
-    /// No rules are in force yet, or the service is unknown.
+    /// The rules in force here do not have the service.
     NoService,
-    /// This VM holds no lease for a target of the service.
-    NoTarget,
-    /// The targets and the queue are full, or the deadline can't be met.
-    Busy,
+    /// Admission refused.
+    Admit(Reason),
     /// The process is stopping.
     Stopping,
 }
--- a/crates/pimento_entry/src/stop.rs
+++ b/crates/pimento_entry/src/stop.rs
@@ -1,6 +1,6 @@
 //! A planned stop that cuts off no request in flight.
 
-use crate::shared::Shared;
+use crate::{node::BeginStop, shared::Shared};
 use actix_web::dev::ServerHandle;
 use pimento_log::{Event, event};
 use std::{sync::atomic::Ordering, time::Duration};
@@ -12,6 +12,7 @@
 pub(crate) async fn run(shared: &Shared, servers: &[ServerHandle]) {
     shared.stopping.store(true, Ordering::Release);
     event!(shared.log, Event::StopBegun);
+    shared.node.do_send(BeginStop);
     let rules = shared.rules.load();
     let ttl = rules.services.iter().map(|s| s.ttl).max().unwrap_or(0);
     let longest = rules.services.iter().map(|s| s.timeout).max().unwrap_or(0);
--- a/crates/pimento_entry/src/upstream.rs
+++ b/crates/pimento_entry/src/upstream.rs
@@ -5,13 +5,13 @@
     body::{self, Body, BodyLimits},
     headers,
     inbound::Inbound,
-    permit::Ending,
     problem::Problem,
     shared::Shared,
 };
 use actix_web::http::StatusCode;
 use awc::{Client, Connector, error::SendRequestError};
 use futures_util::TryStreamExt;
+use pimento_admit::Ending;
 use pimento_core::Verdict;
 use pimento_rules::Service;
 use std::{cell::RefCell, rc::Rc, time::Duration};
@@ -125,7 +125,7 @@
             StatusCode::BAD_GATEWAY,
             "unreachable",
             Verdict::NotRun,
-            Ending::Unreachable,
+            Ending::Failed,
         ),
         SendRequestError::Timeout => (
             StatusCode::GATEWAY_TIMEOUT,
--- a/crates/pimentod/src/dev.rs
+++ b/crates/pimentod/src/dev.rs
@@ -1,9 +1,10 @@
 //! The development mode: one process with all roles on loopback.
 
 use crate::run;
-use pimento_core::{DomainId, RegionId, VmId};
+use pimento_core::{DomainId, RegionId, ServiceId, TargetId, VmId};
 use pimento_entry::Sockets;
 use pimento_settings::{Limits, Listen, Peer, Role, Secrets, Settings, Targets};
+use pimento_standin::{Standin, StandinConfig};
 use std::{
     fs,
     net::SocketAddr,
@@ -23,9 +24,11 @@
     adopt(&mut settings, &sockets)?;
     actix_rt::System::new().block_on(async {
         let entry = run::start(&settings, sockets)?;
+        let standins = standins(&settings)?;
         greet(&settings);
         run::wait().await?;
         entry.stop().await;
+        drop(standins);
         Ok(())
     })
 }
@@ -84,6 +87,19 @@
     Ok(())
 }
 
+/// Starts one stand-in target for each service.
+fn standins(settings: &Settings) -> anyhow::Result<Vec<Standin>> {
+    let start = |target: &str, service: &str| {
+        let mut config = StandinConfig::new(TargetId::new(target)?, ServiceId::new(service)?);
+        config.entries = settings.listen.targets.into_iter().collect();
+        anyhow::Ok(Standin::start(config)?)
+    };
+    Ok(vec![
+        start("dev-shifts-1", "shifts")?,
+        start("dev-sign-ups-1", "sign-ups")?,
+    ])
+}
+
 fn greet(settings: &Settings) {
     let listen = &settings.listen;
     let show = |name: &str, address: Option<SocketAddr>| {
