Never read a lost answer as a request that did not run

Cause: the HTTP client says Connect(Disconnected) also when a peer closes after the request was sent, and ended early bodies as if they were whole. Change: clients whose sockets report an early end; Disconnected means may-have-run; tests of the path through a running entry VM.

--- a/crates/pimento_entry/src/upstream.rs
+++ b/crates/pimento_entry/src/upstream.rs
@@ -9,9 +9,13 @@
     shared::Shared,
 };
 use actix_web::http::StatusCode;
-use awc::{Client, Connector, error::SendRequestError};
+use awc::{
+    Client,
+    error::{ConnectError, SendRequestError},
+};
 use futures_util::TryStreamExt;
 use pimento_admit::Ending;
+use pimento_client::ClientConfig;
 use pimento_core::Verdict;
 use pimento_rules::Service;
 use std::{cell::RefCell, rc::Rc, time::Duration};
@@ -54,17 +58,14 @@
     }
 }
 
-fn client(keep: Duration) -> Client {
-    let connector = Connector::new()
-        .conn_keep_alive(keep)
-        .timeout(CONNECT)
-        .limit(0);
-    Client::builder()
-        .connector(connector)
-        .no_default_headers()
-        .disable_redirects()
-        .disable_timeout()
-        .finish()
+fn client(idle: Duration) -> Client {
+    let config = ClientConfig {
+        connect: CONNECT,
+        timeout: None,
+        idle,
+        limit: 0,
+    };
+    config.build()
 }
 
 /// An exchange that brought no answer.
@@ -121,6 +122,13 @@
 /// Says what an exchange without an answer means.
 fn lost(error: &SendRequestError) -> Lost {
     let (status, title, verdict, ending) = match error {
+        // The client also says so when the peer closes after the request was sent.
+        SendRequestError::Connect(ConnectError::Disconnected) => (
+            StatusCode::BAD_GATEWAY,
+            "lost",
+            Verdict::MayHaveRun,
+            Ending::Failed,
+        ),
         SendRequestError::Connect(_) | SendRequestError::Url(_) => (
             StatusCode::BAD_GATEWAY,
             "unreachable",
--- /dev/null
+++ b/crates/pimento_entry/tests/path.rs
@@ -0,0 +1,129 @@
+//! A request is answered whole, or fails with a verdict.
+
+mod support;
+
+use awc::{Client, http::StatusCode};
+use pimento_standin::Fault;
+use std::time::Duration;
+use support::{Vm, key};
+
+const NOTE: &str = "
+number: 1
+added:
+  regions:
+  - name: north
+  domains:
+  - name: north-a
+    region: north
+  services:
+  - name: shifts
+    repeatable: true
+    timeout: 1000
+    body: 1000
+  - name: sign-ups
+    repeatable: false
+    timeout: 1000
+";
+
+fn url(vm: &Vm, path: &str) -> String {
+    format!("http://{}/s/{path}", vm.callers())
+}
+
+fn verdict<S>(answer: &awc::ClientResponse<S>) -> Option<&str> {
+    answer.headers().get("pimento-verdict")?.to_str().ok()
+}
+
+#[actix_rt::test]
+async fn whole_answer() {
+    let vm = Vm::start(NOTE).await;
+    let _target = vm.target("shifts", |config| config.answer = 200_000).await;
+    let answer = Client::new()
+        .get(url(&vm, "shifts/list?nonce=day1"))
+        .send()
+        .await;
+    let mut answer = answer.expect("an answer");
+    let body = answer.body().limit(1 << 20).await.expect("a whole body");
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert!(body.len() >= 200_000);
+}
+
+#[actix_rt::test]
+async fn unknown_service() {
+    let vm = Vm::start(NOTE).await;
+    let answer = Client::new()
+        .get(url(&vm, "nothing/x"))
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status(), StatusCode::NOT_FOUND);
+    assert_eq!(verdict(&answer), Some("not-run"));
+}
+
+#[actix_rt::test]
+async fn missing_key() {
+    let vm = Vm::start(NOTE).await;
+    let answer = Client::new()
+        .post(url(&vm, "sign-ups/7"))
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status(), StatusCode::BAD_REQUEST);
+    assert_eq!(verdict(&answer), Some("not-run"));
+}
+
+#[actix_rt::test]
+async fn large_body() {
+    let vm = Vm::start(NOTE).await;
+    let _target = vm.target("shifts", |_| {}).await;
+    let request = Client::new().post(url(&vm, "shifts/x"));
+    let answer = request.send_body(vec![0; 2_000]).await.expect("an answer");
+    assert_eq!(answer.status(), StatusCode::PAYLOAD_TOO_LARGE);
+    assert_eq!(verdict(&answer), Some("not-run"));
+}
+
+#[actix_rt::test]
+async fn truncated_answer() {
+    for chunked in [false, true] {
+        let vm = Vm::start(NOTE).await;
+        let target = vm.target("shifts", |config| config.answer = 50_000).await;
+        target.set_fault(Fault::Truncated { chunked });
+        let client = pimento_client::ClientConfig::default().build();
+        if let Ok(mut answer) = client.get(url(&vm, "shifts/x?nonce=x")).send().await {
+            let body = answer.body().limit(1 << 20).await;
+            let failed = body.is_err() || verdict(&answer).is_some();
+            assert!(failed, "a part passed for the whole, chunked {chunked}");
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn silent_target() {
+    let vm = Vm::start(NOTE).await;
+    let target = vm.target("sign-ups", |_| {}).await;
+    target.set_fault(Fault::Silent);
+    let request = Client::builder().timeout(Duration::from_secs(5)).finish();
+    let request = request
+        .post(url(&vm, "sign-ups/7"))
+        .insert_header(("idempotency-key", key()));
+    let answer = request.send().await.expect("an answer");
+    assert_eq!(answer.status(), StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(verdict(&answer), Some("may-have-run"));
+}
+
+#[actix_rt::test]
+async fn caller_leaves() {
+    let vm = Vm::start(NOTE).await;
+    let time = Duration::from_millis(800);
+    let target = vm
+        .target("shifts", |config| {
+            config.time = pimento_standin::ServiceTime::Fixed(time);
+        })
+        .await;
+    let client = Client::builder()
+        .timeout(Duration::from_millis(100))
+        .finish();
+    let left = client.get(url(&vm, "shifts/x")).send().await;
+    left.expect_err("the caller left before the answer");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(target.counters().cancelled, 1);
+}
--- /dev/null
+++ b/crates/pimento_entry/tests/support/mod.rs
@@ -0,0 +1,160 @@
+//! One entry VM on loopback with stand-in targets.
+
+use awc::Client;
+use pimento_core::{DomainId, RegionId, ServiceId, TargetId, VmId};
+use pimento_entry::{Entry, Sockets};
+use pimento_link::{Key, Links};
+use pimento_settings::{Limits, Listen, Peer, Role, Secrets, Settings, Targets};
+use pimento_standin::{Standin, StandinConfig};
+use std::{net::SocketAddr, time::Duration};
+use tempfile::TempDir;
+
+/// The operators' bearer token.
+const TOKEN: &str = "operator";
+
+/// The time between two looks at something that is to happen.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Looks at something that is to happen, at most.
+const POLLS: u32 = 200;
+
+/// A running entry VM.
+#[derive(Debug)]
+pub struct Vm {
+    _entry: Entry,
+    settings: Settings,
+    _folder: TempDir,
+}
+
+impl Vm {
+    /// Starts a VM with both roles and the rules of `note`.
+    pub async fn start(note: &str) -> Self {
+        let folder = tempfile::tempdir().expect("a temporary folder");
+        let mut settings = settings(&folder);
+        let sockets = Sockets::bind(&settings.listen).expect("loopback ports");
+        let local = |l: &Option<std::net::TcpListener>| {
+            l.as_ref()
+                .map(|l| l.local_addr().expect("a bound listener"))
+        };
+        settings.listen = Listen {
+            callers: local(&sockets.callers),
+            targets: local(&sockets.targets),
+            operators: sockets.operators.local_addr().expect("a bound listener"),
+            links: sockets.links.local_addr().expect("a bound listener"),
+            forwards: local(&sockets.forwards),
+        };
+        settings.control = vec![Peer {
+            vm: settings.vm.clone(),
+            address: settings.listen.links,
+        }];
+        let log = pimento_log::discard();
+        let listener = sockets.links.try_clone().expect("a second handle");
+        let links = Links::start(settings.vm.clone(), Key::new("key"), listener, log.clone());
+        let links = links.expect("the listener works");
+        let entry = Entry::start(&settings, sockets, links, &log).expect("the entry role starts");
+        let vm = Self {
+            _entry: entry,
+            settings,
+            _folder: folder,
+        };
+        vm.apply(note).await;
+        vm
+    }
+
+    /// Puts a release note in force.
+    async fn apply(&self, note: &str) {
+        let url = format!("http://{}/v1/notes", self.settings.listen.operators);
+        let mut status = None;
+        for _ in 0..POLLS {
+            let request = Client::new().post(&url).bearer_auth(TOKEN);
+            status = request
+                .send_body(note.to_owned())
+                .await
+                .ok()
+                .map(|r| r.status());
+            if status.is_some_and(|status| status.is_success()) {
+                break;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        assert!(
+            status.is_some_and(|s| s.is_success()),
+            "the note got {status:?}"
+        );
+    }
+
+    /// Where callers go.
+    pub fn callers(&self) -> SocketAddr {
+        self.settings
+            .listen
+            .callers
+            .expect("the entry role has callers")
+    }
+
+    /// Starts a stand-in target and waits until this VM may send to it.
+    pub async fn target(&self, service: &str, adjust: impl FnOnce(&mut StandinConfig)) -> Standin {
+        let name = TargetId::new(format!("{service}-1")).expect("a good name");
+        let mut config = StandinConfig::new(name, ServiceId::new(service).expect("a good name"));
+        config.entries = self.settings.listen.targets.into_iter().collect();
+        adjust(&mut config);
+        let standin = Standin::start(config).expect("a loopback port");
+        self.ready(service).await;
+        standin
+    }
+
+    /// Waits until a look-up names a VM and a request is answered.
+    async fn ready(&self, service: &str) {
+        let url = format!("http://{}/s/{service}/ready", self.callers());
+        for _ in 0..POLLS {
+            let request = Client::new()
+                .get(&url)
+                .insert_header(("idempotency-key", key()));
+            let answer = request.send().await;
+            if answer.is_ok_and(|answer| answer.headers().get("pimento-verdict").is_none()) {
+                return;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        panic!("no target of {service} was taken");
+    }
+}
+
+/// A new key for a request.
+pub fn key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+fn settings(folder: &TempDir) -> Settings {
+    let any = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let path = |name: &str| folder.path().join(name);
+    std::fs::write(path("operators"), TOKEN).expect("a writable folder");
+    std::fs::write(path("links"), "key").expect("a writable folder");
+    Settings {
+        vm: VmId::new("vm-a").expect("a good name"),
+        region: RegionId::new("north").expect("a good name"),
+        domain: DomainId::new("north-a").expect("a good name"),
+        roles: vec![Role::Entry, Role::Control],
+        listen: Listen {
+            callers: any,
+            targets: any,
+            operators: SocketAddr::from(([127, 0, 0, 1], 0)),
+            links: SocketAddr::from(([127, 0, 0, 1], 0)),
+            forwards: any,
+        },
+        control: Vec::new(),
+        seeds: Vec::new(),
+        data: Some(path("data")),
+        targets: Targets {
+            ranges: vec!["127.0.0.0/8".parse().expect("a range")],
+            port: 1_024,
+        },
+        secrets: Secrets {
+            operators: path("operators"),
+            links: path("links"),
+        },
+        limits: Limits {
+            body: 300,
+            ..Limits::default()
+        },
+    }
+}
