Add members: heartbeats, suspicion and summaries between domains

The VMs of a failure domain need to know who lives, and the domains need each other's headroom and rules version, at a cost that follows the domain's size. Heartbeats go to all live VMs of a domain at an interval that grows with their number; a silent VM is suspected, may be vouched for, and only then declared dead. For each other domain one VM is the delegate, chosen by rendezvous, and whoever receives a summary passes it on with its next heartbeat.

--- /dev/null
+++ b/crates/pimento_members/tests/domains.rs
@@ -0,0 +1,147 @@
+//! Failure domains know each other by summaries.
+
+mod common;
+
+use common::Net;
+use pimento_members::{Effect, ServiceLoad};
+
+fn load(service: &str, slots: u32, free: u32) -> ServiceLoad {
+    ServiceLoad {
+        service: service.parse().expect("good name"),
+        slots,
+        free,
+        queued: 1,
+        latency: 20_000,
+        cold: 0,
+    }
+}
+
+#[test]
+fn all_covered() {
+    let mut net = Net::new(&[3, 3, 3, 3, 3, 3], 1);
+    net.run_until(15, |net| net.covers(5, 5));
+    net.run_until(5, |net| {
+        let domain = net.members(0).domain("d4").expect("known");
+        (domain.live, domain.total) == (3, 3)
+    });
+    let domain = net.members(0).domain("d4").expect("known");
+    assert_eq!(domain.region.as_deref(), Some("r2"));
+}
+
+#[test]
+fn headroom_travels() {
+    let mut net = Net::new(&[3, 3], 2);
+    for (node, free) in [(3, 2), (4, 5)] {
+        let members = net.nodes[node].members.as_mut().expect("running");
+        members.set_load(vec![load("sign-ups", 6, free), load("roster", 4, 0)]);
+    }
+    net.run(15);
+    let domain = net.members(0).domain("d1").expect("known");
+    let names: Vec<&str> = domain.services.iter().map(|s| &*s.load.service).collect();
+    assert_eq!(names, ["roster", "sign-ups"]);
+    let sums = &domain.services[1];
+    assert_eq!(
+        (sums.load.slots, sums.load.free, sums.load.queued),
+        (12, 7, 2)
+    );
+    assert_eq!(sums.load.latency, 20_000);
+    let best: Vec<&str> = sums.best.iter().map(|vm| &**vm).collect();
+    assert_eq!(best, ["d1-vm1", "d1-vm0"]);
+    assert!(
+        domain.services[0].best.is_empty(),
+        "no free slot, no best VM"
+    );
+    let contact = domain.contacts.iter().find(|c| &*c.vm == "d1-vm1");
+    assert_eq!(contact.expect("named").forwards, net.nodes[4].info.forwards);
+}
+
+#[test]
+fn peer_loads() {
+    let mut net = Net::new(&[3], 3);
+    let set = |net: &mut Net, loads| {
+        net.nodes[1]
+            .members
+            .as_mut()
+            .expect("running")
+            .set_load(loads);
+    };
+    set(&mut net, vec![load("sign-ups", 6, 4)]);
+    net.run(5);
+    let seen = |net: &Net| net.members(0).peer("d0-vm1").expect("known").loads.clone();
+    assert_eq!(seen(&net), [load("sign-ups", 6, 4)]);
+    set(&mut net, vec![load("sign-ups", 6, 1)]);
+    net.run(1);
+    assert_eq!(seen(&net), [load("sign-ups", 6, 1)]);
+    set(&mut net, vec![]);
+    net.run(1);
+    assert_eq!(seen(&net), []);
+}
+
+#[test]
+fn version_spreads() {
+    let mut net = Net::new(&[3, 3, 3], 4);
+    net.run_until(15, |net| net.covers(2, 5));
+    net.nodes[0]
+        .members
+        .as_mut()
+        .expect("running")
+        .set_version(7);
+    // Whoever hears of newer rules has them a moment later.
+    for _ in 0..8 {
+        net.run(1);
+        for node in &mut net.nodes {
+            let newer = |e: &Effect| match e {
+                Effect::Newer { version, .. } => Some(*version),
+                _ => None,
+            };
+            let version = node.events.iter().filter_map(|(_, e)| newer(e)).max();
+            let members = node.members.as_mut().expect("running");
+            members.set_version(version.unwrap_or(0));
+        }
+    }
+    let lows = net.members(0).domains().iter().map(|d| (d.low, d.high));
+    assert!(lows.eq([(7, 7), (7, 7)]), "all domains have it");
+    let peers = net.members(8).peers().iter();
+    assert!(peers.map(|p| p.version).eq([7, 7]));
+}
+
+#[test]
+fn domain_cut() {
+    let mut net = Net::new(&[3, 3, 3], 5);
+    net.run_until(15, |net| net.covers(2, 5));
+    (0..3).for_each(|node| net.nodes[node].group = 1);
+    net.run(30);
+    assert_eq!(net.deaths(), 0, "domains go on by themselves");
+    let domain = net.members(0).domain("d1").expect("known");
+    assert!(domain.age(net.now).as_secs() >= 25, "the summary ages");
+    (0..3).for_each(|node| net.nodes[node].group = 0);
+    net.run_until(10, |net| net.covers(2, 5));
+}
+
+#[test]
+fn delegate_dies() {
+    let mut net = Net::new(&[3, 1], 6);
+    net.run_until(15, |net| net.covers(1, 5));
+    for node in 0..2 {
+        net.kill(node);
+        net.run_until(10, |net| net.agrees() && net.covers(1, 3));
+    }
+}
+
+#[test]
+fn late_domain() {
+    let mut net = Net::new(&[3, 3, 2], 7);
+    (6..8).for_each(|node| net.kill(node));
+    net.run_until(15, |net| net.covers(1, 5));
+    (6..8).for_each(|node| net.restart(node));
+    net.run_until(15, |net| net.covers(2, 5));
+}
+
+#[test]
+fn lossy_summaries() {
+    let mut net = Net::new(&[4, 4, 4, 4], 8);
+    net.loss = 5;
+    net.run_until(30, |net| net.covers(3, 5));
+    net.run(60);
+    assert!(net.covers(3, 15));
+}
