Add consensus, storage and the control actor

The control group had no replicated log.

A voter is bound to its data folder, so that a VM with a new disk can't vote for the replica that it lost. The group is founded by its first VM once all others say that they know of none.

Measured: five loopback tests of three control VMs pass (founding and forwarding, leader loss, no quorum, whole restart, backup and restore).

--- /dev/null
+++ b/crates/pimento_consensus/src/election.rs
@@ -0,0 +1,264 @@
+//! Founding, elections and the step down.
+
+use crate::{
+    Body, Hello, Kind, Member, Members, Raft, Refusal, Role, Vote, VoteReply, effect::Effect,
+};
+use pimento_core::{Time, VmId};
+use prost::Message as _;
+
+impl Raft {
+    /// Takes over a newer term and drops what is outdated; whether the message
+    /// is to be handled.
+    pub(crate) fn admit(&mut self, now: Time, from: &VmId, term: u64, body: &Body) -> bool {
+        match body {
+            Body::Hello(_) => return true,
+            Body::Vote(vote) if term > self.hard.term => {
+                if self.hears_leader(now) {
+                    return false;
+                }
+                if !vote.pre && vote.voter == self.config.instance {
+                    self.follow(now, term, None);
+                }
+                return true;
+            }
+            Body::VoteReply(reply) if reply.pre && reply.granted => return true,
+            _ => {}
+        }
+        if term > self.hard.term {
+            self.follow(now, term, None);
+        }
+        if term < self.hard.term {
+            self.refuse_stale(from, body);
+            return false;
+        }
+        true
+    }
+
+    /// Shows an outdated sender the newer term, so that it steps down.
+    fn refuse_stale(&mut self, from: &VmId, body: &Body) {
+        match body {
+            Body::Vote(vote) => {
+                let pre = vote.pre;
+                let reply = VoteReply {
+                    pre,
+                    granted: false,
+                };
+                self.send_held(from, Body::VoteReply(reply));
+            }
+            Body::Append(_) | Body::Install(_) => {
+                let reply = Body::VoteReply(VoteReply::default());
+                self.send_held(from, reply);
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether a leader is known to live, so that no election is helped.
+    fn hears_leader(&self, now: Time) -> bool {
+        let heard = now.since(self.heard) < self.config.election;
+        self.role == Role::Leader || (self.leader.is_some() && heard)
+    }
+
+    pub(crate) fn tick_follower(&mut self, now: Time) {
+        if self.founding {
+            self.greet(now);
+        } else if now >= self.deadline {
+            self.rearm(now);
+            self.unlead(None);
+            if self.is_voter() {
+                self.campaign(now, true);
+            }
+        }
+    }
+
+    /// Becomes or stays a follower.
+    pub(crate) fn follow(&mut self, now: Time, term: u64, leader: Option<&VmId>) {
+        if term > self.hard.term {
+            self.set_hard(term, "");
+            self.verified = 0;
+            self.round = 0;
+            self.partial = None;
+        }
+        if self.role != Role::Follower {
+            self.rearm(now);
+        }
+        self.role = Role::Follower;
+        self.own_vote = 0;
+        self.votes.clear();
+        self.peers.clear();
+        self.unlead(leader);
+    }
+
+    /// Notes another leader and rejects the reads that this one was asked for.
+    fn unlead(&mut self, leader: Option<&VmId>) {
+        for id in self.reads.drain() {
+            let leader = leader.cloned();
+            let refusal = Refusal::NotLeader { leader };
+            self.emit(Effect::Reject { id, refusal });
+        }
+        if self.leader.as_ref() != leader {
+            self.leader = leader.cloned();
+            let leader = leader.cloned();
+            self.emit(Effect::Follow { leader });
+        }
+    }
+
+    /// Asks for votes, first without any change of terms.
+    fn campaign(&mut self, now: Time, pre: bool) {
+        self.votes.clear();
+        self.own_vote = 0;
+        let term = self.hard.term + 1;
+        if pre {
+            self.role = Role::PreCandidate;
+        } else {
+            self.role = Role::Candidate;
+            let me = self.config.me.clone();
+            self.own_vote = self.set_hard(term, &me);
+            self.verified = 0;
+            self.round = 0;
+            self.partial = None;
+        }
+        self.ask_votes(pre, term);
+        if pre {
+            self.count_vote(now, &self.config.me.clone());
+        }
+    }
+
+    fn ask_votes(&mut self, pre: bool, term: u64) {
+        let (index, log_term) = (self.log.last(), self.log.last_term());
+        for member in self.members().voters() {
+            let Ok(vm) = VmId::new(&member.vm) else {
+                continue;
+            };
+            if vm == self.config.me {
+                continue;
+            }
+            let voter = member.instance;
+            let body = Body::Vote(Vote {
+                pre,
+                index,
+                log_term,
+                voter,
+            });
+            if pre {
+                self.send_as(&vm, term, body);
+            } else {
+                self.send_held(&vm, body);
+            }
+        }
+    }
+
+    pub(crate) fn vote(&mut self, now: Time, from: &VmId, term: u64, vote: &Vote) {
+        let mine = (self.log.last_term(), self.log.last());
+        let current = (vote.log_term, vote.index) >= mine && vote.voter == self.config.instance;
+        if vote.pre {
+            let granted = current && term > self.hard.term;
+            let reply = Body::VoteReply(VoteReply { pre: true, granted });
+            let shown = if granted { term } else { self.hard.term };
+            self.send_as(from, shown, reply);
+            return;
+        }
+        let open = self.hard.vote.is_empty() || self.hard.vote == from.as_str();
+        let granted = current && open && term == self.hard.term && self.role == Role::Follower;
+        if granted {
+            self.set_hard(term, from);
+            self.rearm(now);
+        }
+        let reply = VoteReply {
+            pre: false,
+            granted,
+        };
+        self.send_held(from, Body::VoteReply(reply));
+    }
+
+    pub(crate) fn vote_reply(
+        &mut self,
+        now: Time,
+        from: &VmId,
+        instance: u64,
+        term: u64,
+        reply: &VoteReply,
+    ) {
+        let expected = match self.role {
+            Role::PreCandidate => reply.pre && term == self.hard.term + 1,
+            Role::Candidate => !reply.pre && term == self.hard.term,
+            Role::Follower | Role::Leader => false,
+        };
+        let voter = self.members().votes(from, instance);
+        if expected && reply.granted && voter {
+            self.count_vote(now, from);
+        }
+    }
+
+    /// Counts a granted vote and goes on when it decides.
+    pub(crate) fn count_vote(&mut self, now: Time, from: &VmId) {
+        if let Err(at) = self.votes.binary_search(from) {
+            self.votes.insert(at, from.clone());
+        }
+        let won = self.votes.len() >= self.quorum();
+        match self.role {
+            Role::PreCandidate if won => self.campaign(now, false),
+            Role::Candidate if won => self.lead(now),
+            _ => {}
+        }
+    }
+
+    /// Asks the other first members whether they know of a group.
+    fn greet(&mut self, now: Time) {
+        if now < self.beat {
+            return;
+        }
+        self.beat = now + self.config.heartbeat;
+        for member in self.config.peers.clone() {
+            let Ok(vm) = VmId::new(&member.vm) else {
+                continue;
+            };
+            if vm != self.config.me && self.unfounded.binary_search(&vm).is_err() {
+                let hello = Hello {
+                    ask: true,
+                    known: false,
+                };
+                self.send(&vm, Body::Hello(hello));
+            }
+        }
+    }
+
+    pub(crate) fn hello(&mut self, now: Time, from: &VmId, hello: &Hello) {
+        if hello.ask {
+            let known = self.hard.term != 0 || self.log.last() != 0;
+            let answer = Hello { ask: false, known };
+            self.send(from, Body::Hello(answer));
+        } else if hello.known {
+            // A group exists, so this folder replaces one that was lost.
+            self.founding = false;
+        } else if let Err(at) = self.unfounded.binary_search(from) {
+            self.unfounded.insert(at, from.clone());
+            self.maybe_found(now);
+        }
+    }
+
+    /// Founds the group as its only voter, with the others as learners, once
+    /// all of them have said that they know of none.
+    pub(crate) fn maybe_found(&mut self, now: Time) {
+        let answered = |m: &Member| {
+            m.vm == self.config.me.as_str() || self.unfounded.iter().any(|vm| vm.as_str() == m.vm)
+        };
+        let complete = self.config.peers.iter().all(answered);
+        if !self.founding || !complete || self.hard.term != 0 {
+            return;
+        }
+        self.founding = false;
+        let members = Members::new(self.config.peers.clone());
+        let members = members.promoted(&self.config.me, self.config.instance);
+        let me = self.config.me.clone();
+        self.own_vote = self.set_hard(1, &me);
+        self.push(crate::Entry {
+            index: 1,
+            term: 1,
+            kind: Kind::Members as i32,
+            payload: members.encode_to_vec().into(),
+        });
+        self.role = Role::Candidate;
+        self.rearm(now);
+    }
+}
--- a/crates/pimento_consensus/src/lib.rs
+++ b/crates/pimento_consensus/src/lib.rs
@@ -1,1 +1,28 @@
 //! Replicated log as a pure state machine.
+//!
+//! [`Raft`] keeps one replica of the log of the control group. It has no clock,
+//! socket, file or thread: the shell hands in time and messages and carries out
+//! the returned [`Effect`]s. See `docs/design/consensus.md`.
+
+mod config;
+mod effect;
+mod election;
+mod entry;
+mod follower;
+mod leader;
+mod log;
+mod members;
+mod membership;
+mod message;
+mod progress;
+mod raft;
+mod reads;
+mod snapshot;
+
+pub use config::{Config, Saved};
+pub use effect::{Change, Effect, Refusal, Role, Status, Write};
+pub use entry::{Entry, Hard, Kind, Snapshot};
+pub use members::{Member, Members};
+pub use message::{Append, AppendReply, Body, Hello, Install, InstallReply};
+pub use message::{Message, Vote, VoteReply};
+pub use raft::Raft;
--- /dev/null
+++ b/crates/pimento_consensus/src/members.rs
@@ -0,0 +1,105 @@
+//! The members of the control group.
+
+use pimento_core::VmId;
+
+/// A VM of the control group.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Member {
+    /// The name of the VM.
+    #[prost(string, tag = "1")]
+    pub vm: String,
+    /// Where the shell reaches it; the core only carries it.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// The data folder that the membership is bound to, or 0 for a learner.
+    ///
+    /// A VM that lost its disk comes back with another one, so that it can't
+    /// vote in the place of the replica that it no longer is.
+    #[prost(uint64, tag = "3")]
+    pub instance: u64,
+    /// Whether it votes; otherwise it is a learner.
+    #[prost(bool, tag = "4")]
+    pub voter: bool,
+}
+
+/// All members, sorted by the name of the VM.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Members {
+    /// Voters and learners.
+    #[prost(message, repeated, tag = "1")]
+    pub list: Vec<Member>,
+}
+
+impl Member {
+    /// A learner that is still to catch up.
+    pub fn learner(vm: &VmId, address: impl Into<String>) -> Self {
+        Self {
+            vm: vm.as_str().to_owned(),
+            address: address.into(),
+            instance: 0,
+            voter: false,
+        }
+    }
+}
+
+impl Members {
+    /// Sorts a list of members.
+    pub fn new(mut list: Vec<Member>) -> Self {
+        list.sort_by(|a, b| a.vm.cmp(&b.vm));
+        list.dedup_by(|a, b| a.vm == b.vm);
+        Self { list }
+    }
+
+    /// Finds a member by name.
+    pub fn get(&self, vm: &str) -> Option<&Member> {
+        let found = self.list.binary_search_by(|m| m.vm.as_str().cmp(vm));
+        found.ok().map(|i| &self.list[i])
+    }
+
+    /// The members that vote.
+    pub fn voters(&self) -> impl Iterator<Item = &Member> {
+        self.list.iter().filter(|m| m.voter)
+    }
+
+    /// The votes that decide.
+    pub fn quorum(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// Whether a VM votes with the data folder that it has.
+    pub fn votes(&self, vm: &str, instance: u64) -> bool {
+        self.get(vm)
+            .is_some_and(|m| m.voter && m.instance == instance)
+    }
+
+    /// Whether the voters are enough to take commands: while the group is
+    /// founded, the first voter alone isn't.
+    pub fn formed(&self) -> bool {
+        self.voters().count() * 2 >= self.list.len()
+    }
+
+    /// The members with one more learner.
+    pub(crate) fn with(&self, member: Member) -> Self {
+        let mut list = self.list.clone();
+        list.push(member);
+        Self::new(list)
+    }
+
+    /// The members without one.
+    pub(crate) fn without(&self, vm: &str) -> Self {
+        let list = self.list.iter().filter(|m| m.vm != vm).cloned();
+        Self {
+            list: list.collect(),
+        }
+    }
+
+    /// The members with a learner promoted to voter.
+    pub(crate) fn promoted(&self, vm: &str, instance: u64) -> Self {
+        let mut next = self.clone();
+        for member in next.list.iter_mut().filter(|m| m.vm == vm) {
+            member.voter = true;
+            member.instance = instance;
+        }
+        next
+    }
+}
--- /dev/null
+++ b/crates/pimento_consensus/src/membership.rs
@@ -0,0 +1,99 @@
+//! One-at-a-time changes of the members.
+
+use crate::{Change, Effect, Kind, Member, Members, Raft, Refusal, Role, progress::Progress};
+use pimento_core::{Time, VmId};
+use prost::Message as _;
+
+impl Raft {
+    /// Why a proposal can't be taken now, if so.
+    pub(crate) fn refusal(&self) -> Option<Refusal> {
+        if self.role != Role::Leader {
+            let leader = self.leader.clone();
+            return Some(Refusal::NotLeader { leader });
+        }
+        if self.log.last() - self.commit >= self.config.backlog {
+            return Some(Refusal::Busy);
+        }
+        let formed = self.log.members().is_some_and(|(_, m)| m.formed());
+        (!formed).then_some(Refusal::Forming)
+    }
+
+    /// Whether the last change and an entry of this term are committed; only
+    /// then may the members change again.
+    fn settled(&self) -> bool {
+        let changed = self.log.members().map_or(0, |(at, _)| at);
+        self.role == Role::Leader && changed <= self.commit && self.start <= self.commit
+    }
+
+    pub(crate) fn begin_change(&mut self, now: Time, id: u64, change: Change) {
+        match self.changed(change) {
+            Ok(members) => {
+                let payload = members.encode_to_vec().into();
+                self.accept(id, Kind::Members, payload);
+                self.refresh_peers(now);
+            }
+            Err(refusal) => self.emit(Effect::Reject { id, refusal }),
+        }
+    }
+
+    /// The members after a change, if it is allowed now.
+    fn changed(&self, change: Change) -> Result<Members, Refusal> {
+        if self.role != Role::Leader {
+            let leader = self.leader.clone();
+            return Err(Refusal::NotLeader { leader });
+        }
+        if !self.settled() {
+            return Err(Refusal::Forming);
+        }
+        let members = self.members();
+        match change {
+            Change::Add { vm, .. } if members.get(&vm).is_some() => Err(Refusal::Member),
+            Change::Add { vm, address } => Ok(members.with(Member::learner(&vm, address))),
+            Change::Remove { vm } => {
+                let member = members.get(&vm).ok_or(Refusal::Unknown)?;
+                let alone = member.voter && members.voters().count() == 1;
+                if alone {
+                    return Err(Refusal::LastVoter);
+                }
+                Ok(members.without(&vm))
+            }
+        }
+    }
+
+    /// Promotes a learner that has caught up.
+    pub(crate) fn promote_learner(&mut self, now: Time) {
+        if !self.settled() {
+            return;
+        }
+        let members = self.members();
+        let ready = |peer: &&Progress| {
+            let learner = members.get(&peer.vm).is_some_and(|m| !m.voter);
+            let alive = now.since(peer.heard) < self.config.election;
+            learner && alive && peer.instance != 0 && peer.matched >= self.commit
+        };
+        let Some(peer) = self.peers.iter().find(ready) else {
+            return;
+        };
+        let next = members.promoted(&peer.vm, peer.instance);
+        self.append_own(Kind::Members, next.encode_to_vec().into());
+        self.refresh_peers(now);
+    }
+
+    /// Makes the list of peers match the newest members.
+    pub(crate) fn refresh_peers(&mut self, now: Time) {
+        let members = self.members();
+        let next = self.log.last() + 1;
+        self.peers.retain(|p| members.get(&p.vm).is_some());
+        for member in &members.list {
+            let Ok(vm) = VmId::new(&member.vm) else {
+                continue;
+            };
+            if vm == self.config.me {
+                continue;
+            }
+            if let Err(at) = self.peers.binary_search_by(|p| p.vm.cmp(&vm)) {
+                self.peers.insert(at, Progress::new(vm, next, now));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pimento_control/src/actor.rs
@@ -0,0 +1,301 @@
+//! The actor that carries messages, time and files to and from the core.
+
+use crate::{
+    ControlClient, RulesChanged, backup,
+    disk::Disk,
+    record::{self, Identity},
+    waiters::{Late, Reader, Waiter},
+};
+use actix::prelude::*;
+use anyhow::{Context as _, ensure};
+use pimento_consensus::{Config, Effect, Kind, Raft, Write};
+use pimento_core::{Time, VmId};
+use pimento_link::{Channel, Links};
+use pimento_log::{Event, Logger, event};
+use pimento_rules::Rules;
+use pimento_settings::Peer;
+use pimento_state::State;
+use pimento_storage::{Folder, Store, StoreError};
+use prost::Message as _;
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::sync::oneshot;
+
+/// How often the core is told the time.
+const TICK: Duration = Duration::from_millis(25);
+
+/// What a control VM needs to start.
+#[derive(Clone, Debug)]
+pub struct ControlConfig {
+    /// The VM.
+    pub vm: VmId,
+    /// The control VMs of the settings: the first members of a new group.
+    pub peers: Vec<Peer>,
+    /// The data folder.
+    pub data: PathBuf,
+    /// The seed of the random waits before elections.
+    pub seed: u64,
+}
+
+/// The replica of one control VM.
+#[derive(Debug)]
+pub struct Control {
+    pub(crate) vm: VmId,
+    pub(crate) peers: Vec<Peer>,
+    pub(crate) raft: Raft,
+    pub(crate) state: State,
+    pub(crate) rules: Arc<Rules>,
+    /// The last entry applied to the state, and its term.
+    pub(crate) applied: (u64, u64),
+    /// Absent while a write is under way, and after a failed one.
+    disk: Option<Disk>,
+    /// Writes that gather while another one is under way.
+    queue: Vec<Write>,
+    leading: bool,
+    /// Whether the disk failed, so that nothing is acknowledged any more.
+    pub(crate) failed: bool,
+    pub(crate) links: Links,
+    pub(crate) client: ControlClient,
+    pub(crate) log: Logger,
+    clock: Instant,
+    /// The addresses of the members, sorted by name.
+    addresses: Vec<(VmId, SocketAddr)>,
+    /// Callers by the index of their entry.
+    pub(crate) waiters: Vec<Waiter>,
+    /// Callers whose read is not confirmed yet, by number.
+    pub(crate) readers: Vec<Reader>,
+    pub(crate) late: Vec<Late>,
+    pub(crate) serial: u64,
+    pub(crate) subscribers: Vec<Recipient<RulesChanged>>,
+    /// Told when the data folder is free.
+    halting: Option<oneshot::Sender<()>>,
+    /// What the core asked for when it started.
+    first: Vec<Effect>,
+}
+
+impl Control {
+    /// Opens the data folder and starts the replica on an arbiter of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file if the data folder is in use, is
+    /// damaged or can't be written.
+    pub fn start(config: ControlConfig, links: Links, log: Logger) -> anyhow::Result<Addr<Self>> {
+        let hub = links.clone();
+        let control = Self::open(config, links, log)?;
+        let arbiter = Arbiter::new();
+        let addr = Self::start_in_arbiter(&arbiter.handle(), |_| control);
+        hub.subscribe(Channel::Consensus, addr.clone().recipient());
+        hub.subscribe(Channel::Control, addr.clone().recipient());
+        Ok(addr)
+    }
+
+    fn open(config: ControlConfig, links: Links, log: Logger) -> anyhow::Result<Self> {
+        let folder = Folder::open(&config.data)?;
+        let (mut store, opened) = Store::open(folder)?;
+        let file = config.data.display();
+        if opened.cut > 0 {
+            event!(log, Event::TailCut, "folder" => %file, "bytes" => opened.cut);
+        }
+        let found = record::decode(opened.records).with_context(|| format!("{file}"))?;
+        let (identity, saved) = if let Some((identity, saved)) = found {
+            ensure!(
+                identity.vm == config.vm.as_str(),
+                "{file}: this data folder is that of {}",
+                identity.vm
+            );
+            (identity, saved)
+        } else {
+            let identity = Identity::new(&config.vm);
+            store.append(&[identity.record()])?;
+            (identity, pimento_consensus::Saved::default())
+        };
+        event!(log, Event::StoreOpened, "folder" => %file, "entries" => saved.entries.len());
+        let first = backup::learners(&config.peers);
+        let settings = Config::new(config.vm.clone(), identity.instance, first);
+        let (raft, first) = Raft::new(settings, saved, Time::ZERO, config.seed);
+        let client = ControlClient::new(links.clone(), &config.peers);
+        Ok(Self {
+            vm: config.vm,
+            peers: config.peers,
+            raft,
+            state: State::default(),
+            rules: Arc::default(),
+            applied: (0, 0),
+            disk: Some(Disk { store, identity }),
+            queue: Vec::new(),
+            leading: false,
+            failed: false,
+            links,
+            client,
+            log,
+            clock: Instant::now(),
+            addresses: Vec::new(),
+            waiters: Vec::new(),
+            readers: Vec::new(),
+            late: Vec::new(),
+            serial: 0,
+            subscribers: Vec::new(),
+            halting: None,
+            first,
+        })
+    }
+
+    /// The time on this process's clock.
+    pub(crate) fn now(&self) -> Time {
+        Time::ZERO + self.clock.elapsed()
+    }
+
+    fn tick(&mut self, ctx: &mut Context<Self>) {
+        let now = self.now();
+        self.expire(now);
+        if !self.failed {
+            let effects = self.raft.tick(now);
+            self.run(effects, ctx);
+        }
+    }
+
+    /// Carries out what the core asks for.
+    pub(crate) fn run(&mut self, effects: Vec<Effect>, ctx: &mut Context<Self>) {
+        for effect in effects {
+            match effect {
+                Effect::Persist(write) => self.enqueue(write),
+                Effect::Send { to, message } => {
+                    if let Some(to) = self.address(&to) {
+                        let payload = message.encode_to_vec().into();
+                        self.links.send(to, Channel::Consensus, payload);
+                    }
+                }
+                Effect::Lead => self.leads(),
+                Effect::Follow { leader } => self.follows(leader.as_ref()),
+                other => self.log_effect(other),
+            }
+        }
+        self.flush(ctx);
+        self.compact(ctx);
+    }
+
+    fn leads(&mut self) {
+        event!(self.log, Event::LeaderElected, "term" => self.raft.status().term);
+        self.leading = true;
+        self.client.remember(None);
+    }
+
+    fn follows(&mut self, leader: Option<&VmId>) {
+        if std::mem::take(&mut self.leading) {
+            event!(self.log, Event::LeaderLost, "leader" => leader.map(VmId::as_str));
+        }
+        let leader = leader.and_then(|vm| self.address(vm));
+        self.client.remember(leader);
+    }
+
+    fn enqueue(&mut self, write: Write) {
+        let members = |e: &pimento_consensus::Entry| e.kind == Kind::Members as i32;
+        if write.snapshot.is_some() || write.entries.iter().any(members) {
+            self.addresses.clear();
+        }
+        self.queue.push(write);
+    }
+
+    /// The link address of a control VM.
+    pub(crate) fn address(&mut self, vm: &VmId) -> Option<SocketAddr> {
+        if self.addresses.is_empty() {
+            self.refresh_addresses();
+        }
+        let found = self.addresses.binary_search_by(|(name, _)| name.cmp(vm));
+        found.ok().map(|i| self.addresses[i].1)
+    }
+
+    /// Takes the addresses of the members, and those of the settings for VMs
+    /// that are not members.
+    fn refresh_addresses(&mut self) {
+        let members = self.raft.members();
+        let known = members.list.iter().filter_map(|m| {
+            let address = m.address.parse().ok()?;
+            Some((VmId::new(&m.vm).ok()?, address))
+        });
+        let known: Vec<_> = known.collect();
+        let listed = self.peers.iter().map(|p| (p.vm.clone(), p.address));
+        self.addresses = known.into_iter().chain(listed).collect();
+        self.addresses.sort_by(|a, b| a.0.cmp(&b.0));
+        self.addresses.dedup_by(|a, b| a.0 == b.0);
+    }
+
+    /// Begins to write what has gathered, unless a write is under way.
+    fn flush(&mut self, ctx: &mut Context<Self>) {
+        if self.queue.is_empty() || self.failed {
+            return;
+        }
+        let Some(mut disk) = self.disk.take() else {
+            return;
+        };
+        let writes = std::mem::take(&mut self.queue);
+        let task = actix_rt::task::spawn_blocking(move || {
+            let done = disk.write(writes);
+            (disk, done)
+        });
+        let task = task.into_actor(self).map(|result, control, ctx| {
+            if let Ok((disk, done)) = result {
+                control.written(disk, done, ctx);
+            } else {
+                control.fail("the writing thread panicked");
+            }
+        });
+        ctx.spawn(task);
+    }
+
+    fn written(&mut self, disk: Disk, done: Result<u64, StoreError>, ctx: &mut Context<Self>) {
+        if let Some(halting) = self.halting.take() {
+            drop(disk);
+            // The caller may have gone; the folder is free all the same.
+            halting.send(()).unwrap_or_default();
+            return;
+        }
+        match done {
+            Ok(seq) => {
+                self.disk = Some(disk);
+                let effects = self.raft.synced(self.now(), seq);
+                self.run(effects, ctx);
+            }
+            Err(e) => self.fail(&e.to_string()),
+        }
+    }
+
+    /// Stops the replica; the answer comes when the data folder is free.
+    pub(crate) fn halt(&mut self) -> oneshot::Receiver<()> {
+        let (halting, freed) = oneshot::channel();
+        let busy = self.disk.take().is_none() && !self.failed;
+        self.failed = true;
+        self.abandon();
+        if busy {
+            self.halting = Some(halting);
+        }
+        freed
+    }
+
+    /// Stops acknowledging for good.
+    fn fail(&mut self, reason: &str) {
+        event!(self.log, Event::StoreFailed, "reason" => reason);
+        self.failed = true;
+        self.abandon();
+    }
+}
+
+impl Actor for Control {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Context<Self>) {
+        // Elections of many messages may queue while a snapshot is encoded.
+        ctx.set_mailbox_capacity(MAILBOX);
+        let first = std::mem::take(&mut self.first);
+        self.run(first, ctx);
+        ctx.run_interval(TICK, Self::tick);
+    }
+}
+
+/// The messages that may wait for the actor.
+const MAILBOX: usize = 4_096;
--- /dev/null
+++ b/crates/pimento_control/src/handlers.rs
@@ -0,0 +1,248 @@
+//! What the actor does with each message.
+
+use crate::{
+    Backup, Change, Control, ControlError, ControlStatus, Fault, GetStatus, Propose, Query,
+    RulesChanged, Shutdown, Subscribe, View, client,
+    waiters::{Done, Late, Purpose, Reader},
+    wire::{Answer, Ask, Question, Reply},
+};
+use actix::prelude::*;
+use bytes::Bytes;
+use pimento_consensus::{Message as Wire, Role};
+use pimento_link::{Channel, Incoming};
+use pimento_rules::Rules;
+use pimento_state::{Command, Outcome};
+use prost::Message as _;
+use std::{sync::Arc, time::Duration};
+use tokio::sync::oneshot;
+
+/// The longest wait of a caller for a quorum.
+pub(crate) const LIMIT: Duration = Duration::from_secs(5);
+
+type Asked = std::pin::Pin<Box<dyn Future<Output = Result<Answer, ControlError>>>>;
+
+impl Control {
+    /// Answers a question if this VM leads.
+    fn take(&mut self, question: &Question, done: Done, ctx: &mut Context<Self>) {
+        if self.failed {
+            return done.send(ControlError::not_run(Fault::DiskFailed));
+        }
+        match question {
+            Question::Propose(payload) => self.propose(payload.clone(), done, ctx),
+            Question::Confirm(_) => self.read(Purpose::Index, done, ctx),
+            Question::Rules(known) => self.read(Purpose::Rules(*known), done, ctx),
+            Question::Backup(_) => self.read(Purpose::Backup, done, ctx),
+            Question::Add(_) | Question::Remove(_) => self.change(question, done, ctx),
+        }
+    }
+
+    fn propose(&mut self, payload: Bytes, done: Done, ctx: &mut Context<Self>) {
+        if Command::decode(payload.clone()).is_err() {
+            return done.send(ControlError::not_run(Fault::Malformed));
+        }
+        self.serial += 1;
+        let id = self.serial;
+        let effects = self.raft.propose(self.now(), id, payload);
+        self.submitted(effects, id, done, ctx);
+    }
+
+    fn change(&mut self, question: &Question, done: Done, ctx: &mut Context<Self>) {
+        let Some(change) = question.change() else {
+            return done.send(ControlError::not_run(Fault::Malformed));
+        };
+        self.serial += 1;
+        let id = self.serial;
+        let effects = self.raft.change(self.now(), id, change);
+        self.submitted(effects, id, done, ctx);
+    }
+
+    fn read(&mut self, purpose: Purpose, done: Done, ctx: &mut Context<Self>) {
+        self.serial += 1;
+        let id = self.serial;
+        let deadline = self.now() + LIMIT;
+        self.readers.push(Reader {
+            id,
+            purpose,
+            deadline,
+            done,
+        });
+        let effects = self.raft.read(self.now(), id);
+        self.run(effects, ctx);
+    }
+
+    /// Asks this VM, and the leader if this VM doesn't lead.
+    fn ask(&mut self, question: Question, ctx: &mut Context<Self>) -> Asked {
+        let (sender, receiver) = oneshot::channel();
+        let done = Done::new(move |answer| drop(sender.send(answer)));
+        self.take(&question, done, ctx);
+        let client = self.client.clone();
+        Box::pin(async move {
+            match receiver.await {
+                Ok(Answer::NotLeader(_)) => client.ask(question).await,
+                Ok(Answer::Failed(failed)) => Err(failed.into()),
+                Ok(answer) => Ok(answer),
+                Err(_) => Err(ControlError::may_have_run(Fault::Timeout)),
+            }
+        })
+    }
+
+    /// Reads once a quorum has confirmed that what is applied here is current.
+    fn view<T: 'static>(
+        &mut self,
+        ctx: &mut Context<Self>,
+        read: impl FnOnce(&Self) -> T + 'static,
+    ) -> ResponseActFuture<Self, Result<T, ControlError>> {
+        let asked = self.ask(Question::Confirm(true), ctx);
+        let confirmed = asked.into_actor(self).then(|answer, control, _| {
+            let applied = answer
+                .and_then(client::index)
+                .map(|index| control.wait_applied(index));
+            wait(applied).into_actor(control)
+        });
+        let viewed = confirmed.map(|applied, control, _| {
+            applied?;
+            Ok(read(control))
+        });
+        Box::pin(viewed)
+    }
+
+    /// Waits until an index is applied here.
+    fn wait_applied(&mut self, index: u64) -> oneshot::Receiver<Answer> {
+        let (sender, receiver) = oneshot::channel();
+        let done = Done::new(move |answer| drop(sender.send(answer)));
+        let deadline = self.now() + LIMIT;
+        self.late.push(Late {
+            index,
+            deadline,
+            done,
+        });
+        self.answer_late();
+        receiver
+    }
+}
+
+impl Handler<Propose> for Control {
+    type Result = ResponseFuture<Result<Outcome, ControlError>>;
+
+    fn handle(&mut self, msg: Propose, ctx: &mut Context<Self>) -> Self::Result {
+        let payload = msg.command.encode_to_vec().into();
+        let asked = self.ask(Question::Propose(payload), ctx);
+        Box::pin(async move { client::outcome(asked.await?) })
+    }
+}
+
+impl Handler<Change> for Control {
+    type Result = ResponseFuture<Result<u64, ControlError>>;
+
+    fn handle(&mut self, msg: Change, ctx: &mut Context<Self>) -> Self::Result {
+        let asked = self.ask(msg.0.into(), ctx);
+        Box::pin(async move { client::index(asked.await?) })
+    }
+}
+
+impl Handler<Backup> for Control {
+    type Result = ResponseFuture<Result<Bytes, ControlError>>;
+
+    fn handle(&mut self, _: Backup, ctx: &mut Context<Self>) -> Self::Result {
+        let asked = self.ask(Question::Backup(true), ctx);
+        Box::pin(async move { client::backup(asked.await?) })
+    }
+}
+
+impl Handler<Query> for Control {
+    type Result = ResponseActFuture<Self, Result<Arc<Rules>, ControlError>>;
+
+    fn handle(&mut self, _: Query, ctx: &mut Context<Self>) -> Self::Result {
+        self.view(ctx, |control| Arc::clone(&control.rules))
+    }
+}
+
+impl<T: Send + 'static> Handler<View<T>> for Control {
+    type Result = ResponseActFuture<Self, Result<T, ControlError>>;
+
+    fn handle(&mut self, msg: View<T>, ctx: &mut Context<Self>) -> Self::Result {
+        self.view(ctx, move |control| (msg.0)(&control.state))
+    }
+}
+
+/// Waits for the index of a confirmed read to be applied here.
+async fn wait(
+    applied: Result<oneshot::Receiver<Answer>, ControlError>,
+) -> Result<u64, ControlError> {
+    match applied?.await {
+        Ok(answer) => client::index(answer),
+        Err(_) => Err(ControlError::not_run(Fault::Timeout)),
+    }
+}
+
+impl Handler<GetStatus> for Control {
+    type Result = MessageResult<GetStatus>;
+
+    fn handle(&mut self, _: GetStatus, _: &mut Context<Self>) -> Self::Result {
+        let status = self.raft.status();
+        let role = match status.role {
+            _ if self.failed => "failed",
+            Role::Leader => "leader",
+            Role::Follower => "follower",
+            Role::PreCandidate | Role::Candidate => "candidate",
+        };
+        let list = &status.members.list;
+        MessageResult(ControlStatus {
+            vm: self.vm.clone(),
+            role,
+            leader: status.leader,
+            term: status.term,
+            commit: status.commit,
+            applied: self.applied.0,
+            members: list.iter().filter(|m| m.voter).map(Into::into).collect(),
+            learners: list.iter().filter(|m| !m.voter).map(Into::into).collect(),
+            rules: self.rules.version,
+        })
+    }
+}
+
+impl Handler<Shutdown> for Control {
+    type Result = ResponseActFuture<Self, ()>;
+
+    fn handle(&mut self, _: Shutdown, _: &mut Context<Self>) -> Self::Result {
+        let freed = self.halt().into_actor(self);
+        Box::pin(freed.map(|_, _, ctx| ctx.stop()))
+    }
+}
+
+impl Handler<Subscribe> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Subscribe, _: &mut Context<Self>) {
+        let rules = Arc::clone(&self.rules);
+        msg.0.do_send(RulesChanged { rules });
+        self.subscribers.push(msg.0);
+    }
+}
+
+impl Handler<Incoming> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: Incoming, ctx: &mut Context<Self>) {
+        match msg.channel {
+            Channel::Consensus if !self.failed => {
+                if let Ok(message) = Wire::decode(msg.payload) {
+                    let effects = self.raft.receive(self.now(), &msg.from, message);
+                    self.run(effects, ctx);
+                }
+            }
+            Channel::Control => {
+                let Some(back) = msg.reply else { return };
+                let done = Done::new(move |answer| {
+                    let answer = Some(answer);
+                    back.send(Reply { answer }.encode_to_vec().into());
+                });
+                match Ask::decode(msg.payload).ok().and_then(|ask| ask.question) {
+                    Some(question) => self.take(&question, done, ctx),
+                    None => done.send(ControlError::not_run(Fault::Malformed)),
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/pimento_control/tests/group.rs
@@ -0,0 +1,113 @@
+//! Three control VMs over loopback links.
+
+mod support;
+
+use pimento_control::{Backup, Fault, Propose, Query, View, restore_backup};
+use pimento_core::Verdict;
+use pimento_state::Command;
+use support::Cluster;
+
+fn propose() -> Propose {
+    Propose {
+        command: Command::default(),
+    }
+}
+
+#[actix_rt::test]
+async fn founding_and_forwarding() {
+    let mut cluster = Cluster::new(3);
+    cluster.start_all();
+    cluster.leader(3).await;
+    for addr in cluster.addrs() {
+        let first = addr.send(propose()).await.unwrap().unwrap();
+        let next = addr.send(propose()).await.unwrap().unwrap();
+        assert!(first.index < next.index);
+        addr.send(Query).await.unwrap().unwrap();
+        let view = View::new(|state| state.rules().version);
+        assert_eq!(addr.send(view).await.unwrap(), Ok(0));
+    }
+}
+
+#[actix_rt::test]
+async fn leader_loss() {
+    let mut cluster = Cluster::new(3);
+    cluster.start_all();
+    let old = cluster.leader(3).await;
+    cluster.stop(old).await;
+    let client = cluster.client();
+    let new = cluster.leader(3).await;
+    assert_ne!(old, new);
+    client.propose(&Command::default()).await.unwrap();
+    // The old leader comes back with its folder and catches up.
+    cluster.start(old);
+    let last = client.propose(&Command::default()).await.unwrap().index;
+    loop {
+        if cluster.status(old).await.applied >= last {
+            break;
+        }
+        actix_rt::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
+
+#[actix_rt::test]
+async fn no_quorum() {
+    let mut cluster = Cluster::new(3);
+    cluster.start_all();
+    let leader = cluster.leader(3).await;
+    for i in (0..3).filter(|i| *i != leader) {
+        cluster.stop(i).await;
+    }
+    let addr = cluster.vms[leader].clone().unwrap();
+    let failed = addr.send(propose()).await.unwrap().unwrap_err();
+    assert_eq!(failed.verdict, Verdict::MayHaveRun);
+    let failed = addr.send(Query).await.unwrap().unwrap_err();
+    assert_eq!(failed.verdict, Verdict::NotRun);
+    assert_eq!(cluster.status(leader).await.leader, None);
+    let failed = addr.send(propose()).await.unwrap().unwrap_err();
+    assert_eq!(failed.verdict, Verdict::NotRun);
+    assert_eq!(failed.fault, Fault::NoLeader);
+}
+
+#[actix_rt::test]
+async fn whole_restart() {
+    let mut cluster = Cluster::new(3);
+    cluster.start_all();
+    cluster.leader(3).await;
+    let addr = cluster.vms[0].clone().unwrap();
+    let last = addr.send(propose()).await.unwrap().unwrap().index;
+    for i in 0..3 {
+        cluster.stop(i).await;
+    }
+    cluster.start_all();
+    let leader = cluster.leader(3).await;
+    let addr = cluster.vms[leader].clone().unwrap();
+    let next = addr.send(propose()).await.unwrap().unwrap().index;
+    assert!(next > last);
+}
+
+#[actix_rt::test]
+async fn backup_restore() {
+    let mut cluster = Cluster::new(3);
+    cluster.start_all();
+    let leader = cluster.leader(3).await;
+    let addr = cluster.vms[leader].clone().unwrap();
+    let last = addr.send(propose()).await.unwrap().unwrap().index;
+    let backup = addr.send(Backup).await.unwrap().unwrap();
+    for i in 0..3 {
+        cluster.stop(i).await;
+        cluster.folders[i] = tempfile::tempdir().unwrap();
+    }
+    let (vm, data) = (&cluster.peers[1].vm, cluster.folders[1].path());
+    let mut damaged = backup.to_vec();
+    let end = damaged.len() - 1;
+    damaged[end] ^= 1;
+    restore_backup(&damaged, data, vm, &cluster.peers).unwrap_err();
+    let restored = restore_backup(&backup, data, vm, &cluster.peers).unwrap();
+    assert_eq!(restored.index, last);
+    restore_backup(&backup, data, vm, &cluster.peers).unwrap_err();
+    cluster.start_all();
+    let leader = cluster.leader(3).await;
+    let addr = cluster.vms[leader].clone().unwrap();
+    let next = addr.send(propose()).await.unwrap().unwrap().index;
+    assert!(next > last);
+}
--- /dev/null
+++ b/crates/pimento_control/tests/support/mod.rs
@@ -0,0 +1,114 @@
+//! Control VMs over loopback links, which can be stopped and started again.
+
+use actix::prelude::*;
+use pimento_control::{Control, ControlClient, ControlConfig, ControlStatus, GetStatus, Shutdown};
+use pimento_core::VmId;
+use pimento_link::{Key, Links};
+use pimento_settings::Peer;
+use std::{net::TcpListener, time::Duration};
+
+/// The longest wait for a group to settle.
+const LIMIT: Duration = Duration::from_secs(20);
+const PAUSE: Duration = Duration::from_millis(20);
+
+pub struct Cluster {
+    pub peers: Vec<Peer>,
+    /// Each VM's links run on an arbiter that dies with the VM.
+    pub arbiters: Vec<Option<Arbiter>>,
+    pub folders: Vec<tempfile::TempDir>,
+    pub vms: Vec<Option<Addr<Control>>>,
+}
+
+impl Cluster {
+    pub fn new(size: usize) -> Self {
+        let mut cluster = Self {
+            peers: Vec::new(),
+            arbiters: Vec::new(),
+            folders: Vec::new(),
+            vms: vec![None; size],
+        };
+        for i in 0..size {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let vm = VmId::new(format!("c{i}")).unwrap();
+            let address = listener.local_addr().unwrap();
+            cluster.arbiters.push(None);
+            cluster.peers.push(Peer { vm, address });
+            cluster.folders.push(tempfile::tempdir().unwrap());
+        }
+        cluster
+    }
+
+    /// Starts the links of a VM on an arbiter of their own.
+    fn links(&mut self, i: usize) -> Links {
+        let arbiter = Arbiter::new();
+        let (vm, address) = (self.peers[i].vm.clone(), self.peers[i].address);
+        let (sender, receiver) = std::sync::mpsc::channel();
+        arbiter.spawn_fn(move || {
+            let listener = TcpListener::bind(address).unwrap();
+            let key = Key::new("secret");
+            let links = Links::start(vm, key, listener, pimento_log::discard());
+            sender.send(links.unwrap()).unwrap();
+        });
+        self.arbiters[i] = Some(arbiter);
+        receiver.recv().unwrap()
+    }
+
+    /// The links of a process without the control role.
+    pub fn client(&self) -> ControlClient {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let vm = VmId::new("entry").unwrap();
+        let links = Links::start(vm, Key::new("secret"), listener, pimento_log::discard());
+        ControlClient::new(links.unwrap(), &self.peers)
+    }
+
+    pub fn start(&mut self, i: usize) {
+        let links = self.links(i);
+        let config = ControlConfig {
+            vm: self.peers[i].vm.clone(),
+            peers: self.peers.clone(),
+            data: self.folders[i].path().to_owned(),
+            seed: i as u64,
+        };
+        let started = Control::start(config, links, pimento_log::discard());
+        self.vms[i] = Some(started.unwrap());
+    }
+
+    pub fn start_all(&mut self) {
+        for i in 0..self.vms.len() {
+            self.start(i);
+        }
+    }
+
+    pub async fn stop(&mut self, i: usize) {
+        let addr = self.vms[i].take().unwrap();
+        addr.send(Shutdown).await.unwrap();
+        let arbiter = self.arbiters[i].take().unwrap();
+        arbiter.stop();
+        arbiter.join().unwrap();
+    }
+
+    pub fn addrs(&self) -> impl Iterator<Item = &Addr<Control>> {
+        self.vms.iter().flatten()
+    }
+
+    pub async fn status(&self, i: usize) -> ControlStatus {
+        let addr = self.vms[i].as_ref().unwrap();
+        addr.send(GetStatus).await.unwrap()
+    }
+
+    /// Waits until some VM leads with a number of voters; its place.
+    pub async fn leader(&self, voters: usize) -> usize {
+        let wait = async {
+            loop {
+                for i in (0..self.vms.len()).filter(|i| self.vms[*i].is_some()) {
+                    let status = self.status(i).await;
+                    if status.role == "leader" && status.members.len() == voters {
+                        return i;
+                    }
+                }
+                actix_rt::time::sleep(PAUSE).await;
+            }
+        };
+        actix_rt::time::timeout(LIMIT, wait).await.unwrap()
+    }
+}
--- /dev/null
+++ b/crates/pimento_storage/src/disk.rs
@@ -0,0 +1,37 @@
+//! The edge to the file system.
+
+use std::{io, path::PathBuf};
+
+/// The file operations that the store needs, within one folder.
+///
+/// Nothing is durable before a sync: a file's content after
+/// [`Disk::sync`], its name after [`Disk::sync_folder`].
+#[expect(
+    clippy::missing_errors_doc,
+    reason = "each operation passes on what the system said"
+)]
+pub trait Disk: Send {
+    /// The path of a file, for messages.
+    fn path(&self, name: &str) -> PathBuf;
+
+    /// Reads a whole file, or `None` if there is none.
+    fn read(&mut self, name: &str) -> io::Result<Option<Vec<u8>>>;
+
+    /// Writes a file anew.
+    fn create(&mut self, name: &str, data: &[u8]) -> io::Result<()>;
+
+    /// Adds to the end of a file.
+    fn append(&mut self, name: &str, data: &[u8]) -> io::Result<()>;
+
+    /// Cuts a file off at a length in bytes.
+    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()>;
+
+    /// Makes a file's content durable.
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+
+    /// Renames a file, in place of another.
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+
+    /// Makes the names in the folder durable.
+    fn sync_folder(&mut self) -> io::Result<()>;
+}
