Add release notes, the ledger and the replicated state

Entry VMs and the control group need rules that move only forward and claims that are granted once.

- notes read from YAML with the path, line and column of a fault, a canonical encoding and its digest, and application with full checks;
- the block table in shared chunks, so that a note copies only the chunks that it touches;
- the book of accepted notes, deltas and paged full copies, and the follower that applies pushes only forward;
- the ledger: claims per tenant, service and key, stored answers, places under caps, retention by the time in the key;
- the replicated state over both, with typed outcomes.

--- a/crates/pimento_rules/src/items.rs
+++ b/crates/pimento_rules/src/items.rs
@@ -46,6 +46,13 @@
     pub latency: u32,
 }
 
+impl Link {
+    /// The names of the two ends, which identify the link.
+    pub const fn ends(&self) -> (&RegionId, &RegionId) {
+        (&self.a, &self.b)
+    }
+}
+
 /// The bounded queue before a service's targets.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/pimento_rules/src/lib.rs
+++ b/crates/pimento_rules/src/lib.rs
@@ -4,12 +4,29 @@
 //! notes, applied in the order of their numbers, give the [`Rules`]. See
 //! `docs/design/notes.md`.
 
+mod apply;
+mod blocks;
+mod book;
+mod check;
+mod digest;
+mod error;
+mod follower;
 mod items;
 mod note;
+mod parse;
+mod push;
 mod rules;
+mod snapshot;
+mod wire;
 
+pub use blocks::Blocks;
+pub use book::{NoteBook, Offer, Record};
+pub use digest::Digest;
+pub use error::{Fault, NoteError, Place};
+pub use follower::{Follower, Step};
 pub use items::{Block, Cap, Domain, Link, Queue, Region, Retry, Service};
-pub use note::{Items, Note, Withdrawn};
+pub use note::{Items, MAX_NOTE, Note, Withdrawn};
+pub use push::{Page, RulesPull, RulesPush};
 pub use rules::Rules;
 
 /// The types that users of the rules import.
--- a/crates/pimento_rules/src/note.rs
+++ b/crates/pimento_rules/src/note.rs
@@ -1,10 +1,19 @@
 //! Release notes as operators write them.
 
-use crate::{Block, Domain, Link, Region, Service};
+use crate::{
+    Block, Digest, Domain, Link, NoteError, Region, Service,
+    wire::{WireItems, WireNote, WireWithdrawn},
+};
 use ipnet::IpNet;
 use pimento_core::{DomainId, RegionId, ServiceId};
+use prost::Message as _;
 use serde::{Deserialize, Serialize};
 
+/// The largest note, in bytes, both as YAML and encoded.
+///
+/// About 20,000 blocks fit, so that 2 million blocks take some 100 notes.
+pub const MAX_NOTE: usize = 1 << 20;
+
 /// A release note.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -53,3 +62,103 @@
     /// Address blocks.
     pub blocks: Vec<IpNet>,
 }
+
+impl Note {
+    /// Encodes the canonical content: every list sorted, every default spelt
+    /// out.
+    pub fn encode(&self) -> Vec<u8> {
+        let note = self.canonical();
+        let wire = WireNote {
+            number: note.number,
+            added: Some(WireItems::pack(&note.added)),
+            changed: Some(WireItems::pack(&note.changed)),
+            withdrawn: Some(WireWithdrawn::pack(&note.withdrawn)),
+        };
+        wire.encode_to_vec()
+    }
+
+    /// Decodes what [`Self::encode`] made.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NoteError::TooLarge`] or [`NoteError::Damaged`].
+    pub fn decode(bytes: &[u8]) -> Result<Self, NoteError> {
+        if bytes.len() > MAX_NOTE {
+            return Err(NoteError::TooLarge(bytes.len()));
+        }
+        let damaged = NoteError::Damaged("note");
+        let Ok(wire) = WireNote::decode(bytes) else {
+            return Err(damaged);
+        };
+        let added = wire.added.unwrap_or_default().unpack();
+        let changed = wire.changed.unwrap_or_default().unpack();
+        let withdrawn = wire.withdrawn.unwrap_or_default().unpack();
+        match (added, changed, withdrawn) {
+            (Ok(added), Ok(changed), Ok(withdrawn)) => Ok(Self {
+                number: wire.number,
+                added,
+                changed,
+                withdrawn,
+            }),
+            _ => Err(damaged),
+        }
+    }
+
+    /// The digest of the canonical content.
+    pub fn digest(&self) -> Digest {
+        Digest::of(&self.encode())
+    }
+
+    fn canonical(&self) -> Self {
+        let mut note = self.clone();
+        note.added.sort();
+        note.changed.sort();
+        note.withdrawn.sort();
+        note
+    }
+}
+
+impl Items {
+    /// The number of things.
+    pub fn len(&self) -> usize {
+        let named = self.regions.len() + self.domains.len() + self.links.len();
+        named + self.services.len() + self.blocks.len()
+    }
+
+    /// Whether nothing is listed.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn sort(&mut self) {
+        self.regions.sort_by(|x, y| x.name.cmp(&y.name));
+        self.domains.sort_by(|x, y| x.name.cmp(&y.name));
+        self.links.sort_by(|x, y| x.ends().cmp(&y.ends()));
+        self.services.sort_by(|x, y| x.name.cmp(&y.name));
+        self.blocks.sort_by_key(|block| block.net);
+        for service in &mut self.services {
+            service.tenants.sort();
+        }
+    }
+}
+
+impl Withdrawn {
+    /// The number of names.
+    pub fn len(&self) -> usize {
+        let named = self.regions.len() + self.domains.len() + self.links.len();
+        named + self.services.len() + self.blocks.len()
+    }
+
+    /// Whether nothing is listed.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn sort(&mut self) {
+        self.regions.sort();
+        self.domains.sort();
+        self.links.sort();
+        self.services.sort();
+        self.blocks.sort();
+    }
+}
--- a/crates/pimento_rules/src/rules.rs
+++ b/crates/pimento_rules/src/rules.rs
@@ -1,6 +1,6 @@
 //! The rules in force after a release note.
 
-use crate::{Block, Domain, Link, Region, Service};
+use crate::{Blocks, Domain, Link, Region, Service};
 use serde::{Deserialize, Serialize};
 
 /// The rules in force, each list sorted by name.
@@ -18,7 +18,7 @@
     /// Services by name.
     pub services: Vec<Service>,
     /// Address blocks by network.
-    pub blocks: Vec<Block>,
+    pub blocks: Blocks,
 }
 
 impl Rules {
@@ -30,6 +30,21 @@
         found.ok().map(|i| &self.services[i])
     }
 
+    /// Finds a region by name.
+    pub fn region(&self, name: &str) -> Option<&Region> {
+        let found = self.regions.binary_search_by(|r| r.name.as_str().cmp(name));
+        found.ok().map(|i| &self.regions[i])
+    }
+
+    /// Finds the link between two regions, whichever is named first.
+    pub fn link(&self, one: &str, other: &str) -> Option<&Link> {
+        let ends = (one.min(other), one.max(other));
+        let found = self
+            .links
+            .binary_search_by(|l| (l.a.as_str(), l.b.as_str()).cmp(&ends));
+        found.ok().map(|i| &self.links[i])
+    }
+
     /// Finds a failure domain by name.
     pub fn domain(&self, name: &str) -> Option<&Domain> {
         let found = self.domains.binary_search_by(|d| d.name.as_str().cmp(name));
--- a/crates/pimento_state/src/lib.rs
+++ b/crates/pimento_state/src/lib.rs
@@ -7,5 +7,6 @@
 mod command;
 mod state;
 
-pub use command::{Command, Outcome};
+pub use command::{Command, Effect, NoteFault, NoteKind, NoteOutcome, NoteRecord, Op, Outcome};
+pub use pimento_ledger as ledger;
 pub use state::{RestoreError, State};
--- a/crates/pimento_state/src/state.rs
+++ b/crates/pimento_state/src/state.rs
@@ -1,12 +1,16 @@
 //! The state machine that the control group replicates.
 
-use crate::{Command, Outcome};
-use pimento_rules::Rules;
+use crate::{Command, Effect, Op, Outcome};
+use pimento_ledger::{ClaimView, Ledger, Slot};
+use pimento_rules::{Note, NoteBook, Record, Rules, RulesPull, RulesPush};
+use prost::Message as _;
+use std::sync::Arc;
 
 /// The replicated state.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct State {
-    rules: Rules,
+    book: NoteBook,
+    ledger: Ledger,
 }
 
 /// A snapshot could not be decoded.
@@ -14,15 +18,42 @@
 #[error("the snapshot does not decode: {0}")]
 pub struct RestoreError(String);
 
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireState {
+    #[prost(bytes = "vec", tag = "1")]
+    book: Vec<u8>,
+    #[prost(bytes = "vec", tag = "2")]
+    ledger: Vec<u8>,
+}
+
 impl State {
     /// Applies the command at a log index; the same on every control VM.
-    pub fn apply(&mut self, index: u64, _command: &Command) -> Outcome {
-        Outcome { index }
+    pub fn apply(&mut self, index: u64, command: &Command) -> Outcome {
+        let time = command.time;
+        let effect = command.op.as_ref().and_then(|op| self.effect(time, op));
+        Outcome { index, effect }
+    }
+
+    fn effect(&mut self, time: u64, op: &Op) -> Option<Effect> {
+        let outcome = match op {
+            Op::Noop(()) => return None,
+            Op::Note(bytes) => return Some(Effect::Note(self.book.offer(time, bytes).into())),
+            Op::Claim(claim) => self.ledger.claim(time, claim),
+            Op::Finish(finish) => self.ledger.finish(time, finish),
+            Op::Free(free) => self.ledger.free(time, free),
+            Op::Cancel(cancel) => self.ledger.cancel(time, cancel),
+            Op::SetCap(cap) => self.ledger.set_cap(cap),
+        };
+        Some(Effect::Ledger(outcome))
     }
 
     /// Encodes the whole state.
     pub fn snapshot(&self) -> Vec<u8> {
-        Vec::new()
+        let wire = WireState {
+            book: self.book.snapshot(),
+            ledger: self.ledger.snapshot(),
+        };
+        wire.encode_to_vec()
     }
 
     /// Decodes a state that [`Self::snapshot`] encoded.
@@ -30,12 +61,51 @@
     /// # Errors
     ///
     /// Returns a [`RestoreError`] if the bytes are not a snapshot.
-    pub fn restore(_bytes: &[u8]) -> Result<Self, RestoreError> {
-        Ok(Self::default())
+    pub fn restore(bytes: &[u8]) -> Result<Self, RestoreError> {
+        let fault = |e: &dyn std::error::Error| RestoreError(e.to_string());
+        let wire = WireState::decode(bytes).map_err(|e| fault(&e))?;
+        Ok(Self {
+            book: NoteBook::restore(&wire.book).map_err(|e| fault(&e))?,
+            ledger: Ledger::restore(&wire.ledger).map_err(|e| fault(&e))?,
+        })
     }
 
     /// The rules in force.
-    pub fn rules(&self) -> &Rules {
-        &self.rules
+    pub const fn rules(&self) -> &Arc<Rules> {
+        self.book.rules()
+    }
+
+    /// What a VM with a version of the rules lacks.
+    pub fn rules_delta(&self, have: u64) -> RulesPush {
+        self.book.delta(have)
+    }
+
+    /// Answers a VM that asks for what it lacks, in bounded parts.
+    pub fn rules_answer(&self, pull: &RulesPull) -> RulesPush {
+        self.book.answer(pull)
+    }
+
+    /// A note that is still kept whole.
+    pub fn note(&self, number: u64) -> Option<Note> {
+        self.book.note(number)
+    }
+
+    /// What is remembered of the accepted notes, oldest first.
+    pub fn history(&self) -> impl DoubleEndedIterator<Item = Record> + '_ {
+        self.book.history()
+    }
+
+    /// A claim that is still kept.
+    pub fn claim(&self, tenant: &str, service: &str, key: &[u8]) -> Option<ClaimView> {
+        self.ledger.view(&Slot {
+            key: key.to_vec(),
+            tenant: tenant.to_owned(),
+            service: service.to_owned(),
+        })
+    }
+
+    /// The ledger, for look-ups.
+    pub const fn ledger(&self) -> &Ledger {
+        &self.ledger
     }
 }
