--- a/crates/pimento_standin/src/announce.rs
+++ b/crates/pimento_standin/src/announce.rs
@@ -2,7 +2,8 @@
 
 use crate::shared::Shared;
 use awc::Client;
-use pimento_lease::{AnnounceReply, Announcement, Token};
+use pimento_core::Time;
+use pimento_lease::{AnnounceReply, Announcement, Announcer, Facts};
 use std::{
     net::SocketAddr,
     sync::Arc,
@@ -12,60 +13,53 @@
 /// The longest wait for the reply to an announcement.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The wait before the next entry VM is tried.
-const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// The time between two looks at what is due.
+const POLL: Duration = Duration::from_millis(10);
 
 /// Announces the target until the task is aborted.
 pub(crate) async fn run(shared: Arc<Shared>, address: SocketAddr) {
     let client = Client::builder().timeout(REPLY_TIMEOUT).finish();
-    let instance = instance();
-    let entries = &shared.config.entries;
-    let mut token: Option<Token> = None;
-    let mut next = 0;
-    let mut entry = entries[0];
+    let entries = shared.config.entries.clone();
+    let mut announcer = Announcer::new(facts(&shared, address), entries, shared.config.seed);
     loop {
-        let announcement = announcement(&shared, address, instance, token.clone());
-        let wait = if let Some(reply) = send(&client, entry, &announcement).await {
-            entry = reply.holder;
-            token = Some(reply.token);
-            Duration::from_millis(reply.interval_ms)
-        } else {
-            next = (next + 1) % entries.len();
-            entry = entries[next];
-            RETRY_INTERVAL
-        };
+        announcer.set_state(shared.state());
+        announcer.set_load(shared.running());
+        if let Some((entry, announcement)) = announcer.next(now(&shared)) {
+            match send(&client, entry, &announcement).await {
+                Some(reply) => announcer.replied(now(&shared), reply),
+                None => announcer.failed(now(&shared)),
+            }
+        }
         tokio::select! {
-            () = actix_rt::time::sleep(wait) => {}
+            () = actix_rt::time::sleep(POLL) => {}
             () = shared.changed.notified() => {}
         }
     }
 }
 
-/// A number that differs between starts of the process.
-fn instance() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(1, |time| time.as_micros() as u64)
+/// The time since the start of the target.
+fn now(shared: &Shared) -> Time {
+    Time::ZERO + shared.started.elapsed()
 }
 
-fn announcement(
-    shared: &Shared,
-    address: SocketAddr,
-    instance: u64,
-    token: Option<Token>,
-) -> Announcement {
-    Announcement {
-        target: shared.config.target.clone(),
-        instance,
-        service: shared.config.service.clone(),
+fn facts(shared: &Shared, address: SocketAddr) -> Facts {
+    let config = &shared.config;
+    Facts {
+        target: config.target.clone(),
+        instance: instance(),
+        service: config.service.clone(),
         address,
-        slots: shared.config.slots,
-        connections: shared.config.connections,
-        state: shared.state(),
-        load: shared.running(),
-        token,
+        slots: config.slots,
+        connections: config.connections,
     }
 }
 
+/// A number that differs between starts of the process.
+fn instance() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(1, |time| time.as_micros() as u64)
+}
+
 /// Sends one announcement; any failure is the same to a target.
 async fn send(
     client: &Client,
--- a/crates/pimento_standin/src/lib.rs
+++ b/crates/pimento_standin/src/lib.rs
@@ -19,5 +19,5 @@
 pub use counters::Counters;
 pub use fault::Fault;
 pub use keys::KeyRuns;
-pub use service::{answer_text, fill};
+pub use service::{NAME_HEADER, answer_text, fill};
 pub use standin::Standin;
--- a/crates/pimento_standin/src/service.rs
+++ b/crates/pimento_standin/src/service.rs
@@ -7,7 +7,10 @@
 use actix_web::{
     HttpRequest, HttpResponse,
     body::SizedStream,
-    http::StatusCode,
+    http::{
+        StatusCode,
+        header::{HeaderName, HeaderValue},
+    },
     web::{self, Bytes, Data, Json, Query, ServiceConfig},
 };
 use futures_util::{StreamExt, stream};
@@ -26,6 +29,9 @@
 /// The header that names a request which may not run twice.
 const KEY: &str = "idempotency-key";
 
+/// The header that names the target in each of its own answers.
+pub const NAME_HEADER: &str = "standin-target";
+
 /// What a caller can ask for in the query of a request.
 #[derive(Debug, Deserialize)]
 struct Ask {
@@ -96,7 +102,13 @@
     run(&shared, key, fault, ask.work).await;
     let text = answer_text(&ask.nonce, &body);
     let size = ask.size.unwrap_or(shared.config.answer);
-    answer(fault, fill(text, size))
+    let mut response = answer(fault, &fill(text, size));
+    let name = HeaderValue::from_str(&shared.config.target);
+    if let Ok(name) = name {
+        let header = HeaderName::from_static(NAME_HEADER);
+        response.headers_mut().insert(header, name);
+    }
+    response
 }
 
 fn refuses(shared: &Shared, fault: Fault) -> bool {
@@ -134,12 +146,12 @@
     }
 }
 
-fn answer(fault: Fault, body: Bytes) -> HttpResponse {
+fn answer(fault: Fault, body: &Bytes) -> HttpResponse {
     match fault {
         Fault::Error => HttpResponse::InternalServerError().body("the target failed"),
         Fault::Wrong => HttpResponse::Ok().body("an answer to another request"),
-        Fault::Truncated { chunked } => truncated(&body, chunked),
-        _ => HttpResponse::Ok().body(body),
+        Fault::Truncated { chunked } => truncated(body, chunked),
+        _ => HttpResponse::Ok().body(body.clone()),
     }
 }
 
