Hand out rules in parts and let operators look at the state

Cause: entry VMs pulled the whole rules as JSON, which two million blocks would not fit, and operators could not see notes, claims and the group. Change: quorum-confirmed pulls of deltas and pages, unconfirmed pulls from any control VM, typed looks and the group's status.

--- a/crates/pimento_control/src/actor.rs
+++ b/crates/pimento_control/src/actor.rs
@@ -91,6 +91,7 @@
         let addr = Self::start_in_arbiter(&arbiter.handle(), |_| control);
         hub.subscribe(Channel::Consensus, addr.clone().recipient());
         hub.subscribe(Channel::Control, addr.clone().recipient());
+        hub.subscribe(Channel::Rules, addr.clone().recipient());
         Ok(addr)
     }
 
--- a/crates/pimento_control/src/apply.rs
+++ b/crates/pimento_control/src/apply.rs
@@ -104,7 +104,7 @@
         if rules.version <= self.rules.version {
             return;
         }
-        self.rules = Arc::new(rules.clone());
+        self.rules = Arc::clone(rules);
         for subscriber in &self.subscribers {
             let rules = Arc::clone(&self.rules);
             subscriber.do_send(RulesChanged { rules });
@@ -118,22 +118,13 @@
         let reader = self.readers.remove(at);
         let answer = match reader.purpose {
             Purpose::Index => Answer::Index(self.applied.0),
-            Purpose::Rules(known) => self.rules_answer(known),
+            Purpose::Rules(pull) => Answer::Rules(self.state.rules_answer(&pull)),
             Purpose::Backup => self.backup_answer(),
+            Purpose::Look(look) => look.answer(&self.state),
         };
         reader.done.send(answer);
     }
 
-    fn rules_answer(&self, known: u64) -> Answer {
-        if self.rules.version == known {
-            return Answer::Rules(Bytes::new());
-        }
-        match serde_json::to_vec(&*self.rules) {
-            Ok(json) => Answer::Rules(json.into()),
-            Err(_) => ControlError::not_run(Fault::Malformed).into(),
-        }
-    }
-
     fn backup_answer(&self) -> Answer {
         let (index, term) = self.applied;
         Answer::Backup(backup::encode(&Snapshot {
--- a/crates/pimento_control/src/client.rs
+++ b/crates/pimento_control/src/client.rs
@@ -1,13 +1,13 @@
 //! Asking the control group from another process.
 
 use crate::{
-    ControlError, Fault,
+    ControlError, Fault, Look,
     wire::{Answer, Ask, NotLeader, Question, Reply},
 };
 use bytes::Bytes;
 use pimento_consensus::Change as MemberChange;
 use pimento_link::{CallError, Channel, Links};
-use pimento_rules::Rules;
+use pimento_rules::{RulesPull, RulesPush};
 use pimento_settings::Peer;
 use pimento_state::{Command, Outcome};
 use prost::Message as _;
@@ -58,14 +58,40 @@
         outcome(self.ask(Question::Propose(payload)).await?)
     }
 
-    /// Asks for the rules as a quorum confirms them, or `None` if they still
-    /// have the version that is known.
+    /// Asks for what a VM lacks of the rules, current as a quorum confirms.
     ///
     /// # Errors
     ///
     /// Returns a [`ControlError`] if no quorum answered in time.
-    pub async fn rules(&self, known: u64) -> Result<Option<Rules>, ControlError> {
-        rules(self.ask(Question::Rules(known)).await?)
+    pub async fn rules(&self, pull: RulesPull) -> Result<RulesPush, ControlError> {
+        rules(self.ask(Question::Rules(pull)).await?)
+    }
+
+    /// Looks at the state as a quorum confirms it; the answer is JSON, or empty
+    /// if there is no such thing.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ControlError`] if no quorum answered in time.
+    pub async fn look(&self, look: Look) -> Result<Bytes, ControlError> {
+        json(self.ask(Question::Look(look)).await?)
+    }
+
+    /// Asks each control VM of the settings for its own view of the group, as
+    /// JSON; a VM that doesn't answer is left out.
+    pub async fn statuses(&self) -> Vec<Bytes> {
+        let question = Some(Question::Status(true));
+        let payload = Bytes::from(Ask { question }.encode_to_vec());
+        let mut statuses = Vec::new();
+        for to in self.peers.iter() {
+            let call = self
+                .links
+                .call(*to, Channel::Control, payload.clone(), READ_LIMIT);
+            if let Ok(reply) = call.await {
+                statuses.extend(answer(reply).and_then(json));
+            }
+        }
+        statuses
     }
 
     /// Adds or removes a control VM.
@@ -175,6 +201,13 @@
     Outcome::decode(bytes).ok().ok_or(malformed)
 }
 
+fn json(answer: Answer) -> Result<Bytes, ControlError> {
+    match answer {
+        Answer::Json(bytes) => Ok(bytes),
+        other => Err(unexpected(other)),
+    }
+}
+
 pub(crate) fn index(answer: Answer) -> Result<u64, ControlError> {
     match answer {
         Answer::Index(index) => Ok(index),
@@ -189,14 +222,9 @@
     }
 }
 
-pub(crate) fn rules(answer: Answer) -> Result<Option<Rules>, ControlError> {
-    let Answer::Rules(json) = answer else {
-        return Err(unexpected(answer));
-    };
-    if json.is_empty() {
-        return Ok(None);
+fn rules(answer: Answer) -> Result<RulesPush, ControlError> {
+    match answer {
+        Answer::Rules(push) => Ok(push),
+        other => Err(unexpected(other)),
     }
-    let malformed = ControlError::not_run(Fault::Malformed);
-    let rules = serde_json::from_slice(&json).ok();
-    rules.map(Some).ok_or(malformed)
 }
--- a/crates/pimento_control/src/handlers.rs
+++ b/crates/pimento_control/src/handlers.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use pimento_consensus::{Message as Wire, Role};
 use pimento_link::{Channel, Incoming};
-use pimento_rules::Rules;
+use pimento_rules::{Rules, RulesPull};
 use pimento_state::{Command, Outcome};
 use prost::Message as _;
 use std::{sync::Arc, time::Duration};
@@ -30,7 +30,9 @@
         match question {
             Question::Propose(payload) => self.propose(payload.clone(), done, ctx),
             Question::Confirm(_) => self.read(Purpose::Index, done, ctx),
-            Question::Rules(known) => self.read(Purpose::Rules(*known), done, ctx),
+            Question::Rules(pull) => self.read(Purpose::Rules(*pull), done, ctx),
+            Question::Look(look) => self.read(Purpose::Look(look.clone()), done, ctx),
+            Question::Status(_) => done.send(self.status_answer()),
             Question::Backup(_) => self.read(Purpose::Backup, done, ctx),
             Question::Add(_) | Question::Remove(_) => self.change(question, done, ctx),
         }
@@ -175,10 +177,9 @@
     }
 }
 
-impl Handler<GetStatus> for Control {
-    type Result = MessageResult<GetStatus>;
-
-    fn handle(&mut self, _: GetStatus, _: &mut Context<Self>) -> Self::Result {
+impl Control {
+    /// This VM's own view of the group.
+    pub(crate) fn status(&self) -> ControlStatus {
         let status = self.raft.status();
         let role = match status.role {
             _ if self.failed => "failed",
@@ -187,7 +188,7 @@
             Role::PreCandidate | Role::Candidate => "candidate",
         };
         let list = &status.members.list;
-        MessageResult(ControlStatus {
+        ControlStatus {
             vm: self.vm.clone(),
             role,
             leader: status.leader,
@@ -197,7 +198,15 @@
             members: list.iter().filter(|m| m.voter).map(Into::into).collect(),
             learners: list.iter().filter(|m| !m.voter).map(Into::into).collect(),
             rules: self.rules.version,
-        })
+        }
+    }
+}
+
+impl Handler<GetStatus> for Control {
+    type Result = MessageResult<GetStatus>;
+
+    fn handle(&mut self, _: GetStatus, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.status())
     }
 }
 
@@ -242,6 +251,12 @@
                     None => done.send(ControlError::not_run(Fault::Malformed)),
                 }
             }
+            Channel::Rules => {
+                let Some(back) = msg.reply else { return };
+                if let Ok(pull) = RulesPull::decode(msg.payload) {
+                    back.send(self.state.rules_answer(&pull).encode_to_vec().into());
+                }
+            }
             _ => {}
         }
     }
--- a/crates/pimento_control/src/waiters.rs
+++ b/crates/pimento_control/src/waiters.rs
@@ -1,7 +1,8 @@
 //! Callers that wait for the log.
 
-use crate::wire::Answer;
+use crate::{look::Look, wire::Answer};
 use pimento_core::Time;
+use pimento_rules::RulesPull;
 use std::fmt;
 
 /// Where an answer goes.
@@ -24,12 +25,14 @@
 }
 
 /// What a confirmed read is for.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Purpose {
     /// Only the index that must be applied.
     Index,
-    /// The rules, unless they still have this version.
-    Rules(u64),
+    /// What a VM lacks of the rules.
+    Rules(RulesPull),
+    /// An operator's look at the state.
+    Look(Look),
     /// A backup.
     Backup,
 }
--- a/crates/pimento_control/src/wire.rs
+++ b/crates/pimento_control/src/wire.rs
@@ -1,14 +1,15 @@
 //! What a process asks a control VM over a link.
 
-use crate::{ControlError, Fault};
+use crate::{ControlError, Fault, look::Look};
 use bytes::Bytes;
 use pimento_consensus::{Change, Refusal};
 use pimento_core::{Verdict, VmId};
+use pimento_rules::{RulesPull, RulesPush};
 
 /// A question to a control VM, which answers only if it leads.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Ask {
-    #[prost(oneof = "Question", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "Question", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub question: Option<Question>,
 }
 
@@ -21,9 +22,9 @@
     /// Which index must be applied for a current view?
     #[prost(bool, tag = "2")]
     Confirm(bool),
-    /// The rules, unless they still have this version.
-    #[prost(uint64, tag = "3")]
-    Rules(u64),
+    /// What a VM lacks of the rules.
+    #[prost(message, tag = "3")]
+    Rules(RulesPull),
     /// Add a VM to the group.
     #[prost(message, tag = "4")]
     Add(Add),
@@ -33,6 +34,12 @@
     /// A backup of the state.
     #[prost(bool, tag = "6")]
     Backup(bool),
+    /// An operator's look at the state.
+    #[prost(message, tag = "7")]
+    Look(Look),
+    /// The VM's own view of the group, whether it leads or not.
+    #[prost(bool, tag = "8")]
+    Status(bool),
 }
 
 /// A VM to add to the group.
@@ -47,7 +54,7 @@
 /// The answer to an [`Ask`].
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Reply {
-    #[prost(oneof = "Answer", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "Answer", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub answer: Option<Answer>,
 }
 
@@ -60,9 +67,9 @@
     /// The index that must be applied, or that a change took.
     #[prost(uint64, tag = "2")]
     Index(u64),
-    /// The rules as JSON, or nothing if the version is the same.
-    #[prost(bytes = "bytes", tag = "3")]
-    Rules(Bytes),
+    /// A part of what the VM lacks of the rules.
+    #[prost(message, tag = "3")]
+    Rules(RulesPush),
     /// An encoded backup.
     #[prost(bytes = "bytes", tag = "4")]
     Backup(Bytes),
@@ -72,6 +79,9 @@
     /// There is no result.
     #[prost(message, tag = "6")]
     Failed(Failed),
+    /// What an operator looked at, as JSON; empty if there is none.
+    #[prost(bytes = "bytes", tag = "7")]
+    Json(Bytes),
 }
 
 /// The VM does not lead.
