Steer look-ups and requests by headroom, link bytes and retry budget

Cause: a caller needs a stable answer to which entry VM it uses, and an entry VM needs to know where a request goes that its own targets can't serve, though what it knows of others is old and the links between regions are thin.

Change: pimento_steer holds a compact block table with longest match, look-ups by weighted rendezvous hashing, routing by the expected time of an answer with power of two choices, discounted headroom, bounded growth of moved load and a byte budget for each region, and the state machine of a request's attempts with one retry budget for the VM. Admission keeps a region's reserve from requests of other regions.

--- a/crates/pimento_admit/src/admit.rs
+++ b/crates/pimento_admit/src/admit.rs
@@ -15,6 +15,8 @@
     service: ServiceId,
     target: TargetId,
     class: Class,
+    /// Whether another region passed it on.
+    moved: bool,
     deadline: Time,
     /// When the slot counts as free, if the request ended here but the target
     /// may still run it.
@@ -86,10 +88,9 @@
             let reason = Reason::NoTarget;
             return vec![Effect::Refuse { id, reason }];
         };
-        let (class, deadline) = (request.class, request.deadline);
         let service = &mut self.services[s];
         match service.submit(now, request, &self.config, &mut self.rng) {
-            Decision::Start(i) => vec![self.start(s, i, id, class, deadline)],
+            Decision::Start(i, request) => vec![self.start(s, i, &request)],
             Decision::Refuse(reason) => vec![Effect::Refuse { id, reason }],
             Decision::Wait(out) => {
                 let reason = Reason::QueueFull;
@@ -222,20 +223,24 @@
     }
 
     /// Puts a request in a slot.
-    fn start(&mut self, s: usize, i: usize, id: u64, class: Class, deadline: Time) -> Effect {
+    fn start(&mut self, s: usize, i: usize, request: &Request) -> Effect {
+        let (id, class) = (request.id, request.class);
         let service = &mut self.services[s];
         let target = &mut service.targets[i];
         target.take();
         if class == Class::Background {
             service.spare_used += 1;
         }
+        let moved = request.reserve.is_some();
+        service.moved_used += u32::from(moved);
         let target = target.view.target.clone();
         let running = Running {
             id,
             service: service.id.clone(),
             target: target.clone(),
             class,
-            deadline,
+            moved,
+            deadline: request.deadline,
             until: None,
         };
         let at = self.running.partition_point(|r| r.id < id);
@@ -259,6 +264,9 @@
         if gone.class == Class::Background {
             service.spare_used = service.spare_used.saturating_sub(1);
         }
+        if gone.moved {
+            service.moved_used = service.moved_used.saturating_sub(1);
+        }
         if let Some(target) = service.target(&gone.target) {
             target.used = target.used.saturating_sub(1);
         }
@@ -273,7 +281,7 @@
             let Some((request, i)) = next else {
                 return effects;
             };
-            effects.push(self.start(s, i, request.id, request.class, request.deadline));
+            effects.push(self.start(s, i, &request));
         }
     }
 }
--- a/crates/pimento_admit/src/request.rs
+++ b/crates/pimento_admit/src/request.rs
@@ -21,6 +21,9 @@
     pub queue: Queue,
     /// Targets that already had an attempt of this request.
     pub avoid: Vec<TargetId>,
+    /// The share of the slots, in percent, that the request may not take, for
+    /// one that another region passed on; none for the region's own.
+    pub reserve: Option<u8>,
 }
 
 /// How a started request ended.
@@ -54,6 +57,9 @@
     QueueWait,
     /// The request can't finish before its deadline.
     Deadline,
+    /// The request came from another region, and what is left is reserved for
+    /// this one.
+    Reserve,
 }
 
 impl Reason {
@@ -64,6 +70,7 @@
             Self::QueueFull => "queue-full",
             Self::QueueWait => "queue-wait",
             Self::Deadline => "deadline",
+            Self::Reserve => "reserve",
         }
     }
 
--- a/crates/pimento_admit/src/service.rs
+++ b/crates/pimento_admit/src/service.rs
@@ -20,6 +20,8 @@
     latency: Estimate,
     /// Slots in use by background requests.
     pub(crate) spare_used: u32,
+    /// Slots in use by requests from other regions.
+    pub(crate) moved_used: u32,
 }
 
 /// What the targets of a service offer.
@@ -40,6 +42,7 @@
             queue: Queue::default(),
             latency: Estimate::default(),
             spare_used: 0,
+            moved_used: 0,
         }
     }
 
@@ -108,6 +111,12 @@
         room.free > spare && self.spare_used + spare < room.offered
     }
 
+    /// Whether a request from another region would take a reserved slot.
+    fn reserved(&self, reserve: u8, room: Room) -> bool {
+        let open = 100_u32.saturating_sub(u32::from(reserve));
+        self.moved_used >= room.offered * open / 100
+    }
+
     /// Whether a target exists that may still serve the request.
     fn reachable(&self, now: Time, request: &Request) -> bool {
         let fits = |t: &Target| t.usable(now) && !request.avoid.contains(&t.view.target);
@@ -161,17 +170,26 @@
             return Decision::Refuse(Reason::Deadline);
         }
         let room = self.room(now, config);
+        let taken = |reserve| self.reserved(reserve, room);
+        if room.offered > 0 && request.reserve.is_some_and(taken) {
+            return Decision::Refuse(Reason::Reserve);
+        }
         let ahead = self.queue.ahead(request.class);
         if ahead == 0 && self.open_to(request.class, room, config) {
             let target = self.pick(now, &request, room.trust, config, rng);
             if let Some(i) = target {
                 self.queue.pass(&request);
-                return Decision::Start(i);
+                return Decision::Start(i, request);
             }
         }
         if room.offered == 0 {
             return Decision::Refuse(Reason::NoTarget);
         }
+        // A request from another region may still go elsewhere, so it doesn't
+        // wait here.
+        if request.reserve.is_some() {
+            return Decision::Refuse(Reason::Reserve);
+        }
         let rounds = (ahead as f64 + 1.0) / f64::from(room.offered);
         let wait = expected.mul_f64(rounds);
         if now + wait + expected > request.deadline {
@@ -287,10 +305,10 @@
 }
 
 /// What becomes of a new request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Decision {
     /// It starts at a target, given by its index.
-    Start(usize),
+    Start(usize, Request),
     /// It waits; the request in the value is pushed out for it.
     Wait(Option<u64>),
     /// It is refused.
--- a/crates/pimento_admit/tests/common/mod.rs
+++ b/crates/pimento_admit/tests/common/mod.rs
@@ -52,6 +52,7 @@
         deadline: at(deadline),
         queue: Queue::default(),
         avoid: Vec::new(),
+        reserve: None,
     }
 }
 
--- a/crates/pimento_admit/tests/limits.rs
+++ b/crates/pimento_admit/tests/limits.rs
@@ -178,3 +178,18 @@
     admit.set_target(at(11), with_report(0, 3, 11));
     assert_eq!(slots(&admit, 11), 6);
 }
+
+#[test]
+fn region_reserve() {
+    let mut admit = admit(2);
+    let mut moved = Vec::new();
+    for id in 0..6 {
+        let mut request = request(id, 5_000);
+        request.reserve = Some(20);
+        moved.extend(started(&admit.submit(at(0), request)));
+    }
+    assert_eq!(moved, [0, 1, 2, 3], "80% of six slots are four whole ones");
+    for id in 6..8 {
+        assert_eq!(started(&admit.submit(at(0), request(id, 5_000))), [id]);
+    }
+}
--- /dev/null
+++ b/crates/pimento_steer/src/attempts.rs
@@ -0,0 +1,221 @@
+//! What happens after each attempt of one request.
+
+use crate::RetryBudget;
+use pimento_core::prelude::*;
+use pimento_rules::{Retry, Service};
+use rand::Rng;
+
+/// The longest delay before the first retry; doubles with each that follows.
+const BACKOFF: Duration = Duration::from_millis(10);
+/// The longest delay before any retry.
+const MAX_BACKOFF: Duration = Duration::from_millis(500);
+/// The most refusals by entry VMs that one request is moved on after. They
+/// cost no target anything, so the retry budget doesn't count them.
+const MAX_MOVES: u8 = 3;
+
+/// How an attempt failed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// An entry VM refused it, before any target saw it.
+    Refused {
+        /// The VM that refused.
+        vm: VmId,
+    },
+    /// A target refused it before running it.
+    Shed {
+        /// The target.
+        target: TargetId,
+    },
+    /// It failed at a target, or on the way there or back.
+    Failed {
+        /// Whether it may have run.
+        verdict: Verdict,
+        /// The target, if it is known.
+        target: Option<TargetId>,
+        /// The VM that the request was passed to, if any.
+        vm: Option<VmId>,
+    },
+}
+
+impl Failure {
+    /// Whether the request may have run.
+    pub const fn verdict(&self) -> Verdict {
+        match self {
+            Self::Refused { .. } | Self::Shed { .. } => Verdict::NotRun,
+            Self::Failed { verdict, .. } => *verdict,
+        }
+    }
+}
+
+/// What happens next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Next {
+    /// Another attempt begins after a delay.
+    Retry {
+        /// The delay.
+        after: Duration,
+    },
+    /// The caller is answered with the failure.
+    GiveUp {
+        /// The worst that is known over all attempts.
+        verdict: Verdict,
+    },
+}
+
+/// The attempts of one request.
+///
+/// A target or VM that had an attempt is never tried again; a request that
+/// must not run twice is only tried again while all that is known says that it
+/// did not run.
+#[derive(Clone, Debug)]
+pub struct Attempts {
+    rule: Retry,
+    repeatable: bool,
+    class: Class,
+    deadline: Time,
+    count: u8,
+    moves: u8,
+    hedged: bool,
+    worst: Verdict,
+    targets: Vec<TargetId>,
+    vms: Vec<VmId>,
+}
+
+impl Attempts {
+    /// Counts a request and begins its first attempt.
+    pub fn new(
+        now: Time,
+        rule: &Service,
+        class: Class,
+        deadline: Time,
+        budget: &mut RetryBudget,
+    ) -> Self {
+        budget.request(now);
+        Self {
+            rule: rule.retry.clone(),
+            repeatable: rule.repeatable,
+            class,
+            deadline,
+            count: 1,
+            moves: 0,
+            hedged: false,
+            worst: Verdict::NotRun,
+            targets: Vec::new(),
+            vms: Vec::new(),
+        }
+    }
+
+    /// Targets that the next attempt must avoid.
+    pub fn targets(&self) -> &[TargetId] {
+        &self.targets
+    }
+
+    /// Entry VMs that the next attempt must avoid.
+    pub fn vms(&self) -> &[VmId] {
+        &self.vms
+    }
+
+    /// The worst that is known of all attempts.
+    pub const fn verdict(&self) -> Verdict {
+        self.worst
+    }
+
+    /// Notes the target of an attempt under way, which a hedge must avoid.
+    pub fn sent_to(&mut self, target: &TargetId) {
+        if !self.targets.contains(target) {
+            self.targets.push(target.clone());
+        }
+    }
+
+    /// Decides after a failed attempt. `expected` is how long another attempt
+    /// takes at least.
+    pub fn fail(
+        &mut self,
+        now: Time,
+        failure: &Failure,
+        expected: Duration,
+        budget: &mut RetryBudget,
+        rng: &mut impl Rng,
+    ) -> Next {
+        self.worst = self.worst.max(failure.verdict());
+        self.note(failure);
+        let verdict = self.worst;
+        let give_up = Next::GiveUp { verdict };
+        if !self.repeatable && !verdict.allows_resend() {
+            return give_up;
+        }
+        let after = self.delay(failure, rng);
+        if now + after + expected >= self.deadline {
+            return give_up;
+        }
+        if !self.affords(now, failure, budget) {
+            return give_up;
+        }
+        Next::Retry { after }
+    }
+
+    /// Remembers who had the attempt.
+    fn note(&mut self, failure: &Failure) {
+        let (target, vm) = match failure {
+            Failure::Refused { vm } => (None, Some(vm)),
+            Failure::Shed { target } => (Some(target), None),
+            Failure::Failed { target, vm, .. } => (target.as_ref(), vm.as_ref()),
+        };
+        if let Some(target) = target {
+            self.sent_to(target);
+        }
+        if let Some(vm) = vm
+            && !self.vms.contains(vm)
+        {
+            self.vms.push(vm.clone());
+        }
+    }
+
+    /// A random delay, so that retries of many requests don't come together. A
+    /// refusal by an entry VM cost no target anything, and is moved on at once.
+    fn delay(&self, failure: &Failure, rng: &mut impl Rng) -> Duration {
+        if matches!(failure, Failure::Refused { .. }) {
+            return Duration::ZERO;
+        }
+        let doublings = u32::from(self.count.saturating_sub(1)).min(8);
+        let longest = (BACKOFF * 2_u32.pow(doublings)).min(MAX_BACKOFF);
+        longest.mul_f64(rng.random_range(0.5..1.0))
+    }
+
+    /// Takes another attempt from the bounds that apply to it.
+    fn affords(&mut self, now: Time, failure: &Failure, budget: &mut RetryBudget) -> bool {
+        if matches!(failure, Failure::Refused { .. }) {
+            self.moves += 1;
+            return self.moves <= MAX_MOVES;
+        }
+        if self.count >= self.rule.attempts {
+            return false;
+        }
+        if !budget.take(now, self.rule.budget) {
+            return false;
+        }
+        self.count += 1;
+        true
+    }
+
+    /// The delay after which a second attempt may be sent beside the first:
+    /// only for repeatable requests of the critical class.
+    pub fn hedge_after(&self) -> Option<Duration> {
+        let wanted = self.repeatable && self.class == Class::Critical && !self.hedged;
+        let delay = self.rule.hedge.filter(|_| wanted)?;
+        Some(Duration::from_millis(u64::from(delay)))
+    }
+
+    /// Takes a hedge from the budget, once for each request.
+    pub fn hedge(&mut self, now: Time, expected: Duration, budget: &mut RetryBudget) -> bool {
+        if self.hedge_after().is_none() || self.count >= self.rule.attempts {
+            return false;
+        }
+        if now + expected >= self.deadline || !budget.take(now, self.rule.budget) {
+            return false;
+        }
+        self.hedged = true;
+        self.count += 1;
+        true
+    }
+}
--- /dev/null
+++ b/crates/pimento_steer/src/place.rs
@@ -0,0 +1,126 @@
+//! What this VM has sent to each other place for each service.
+
+use crate::{SteerConfig, growth::Growth};
+use pimento_admit::Headroom;
+use pimento_core::prelude::*;
+
+/// Requests that this VM has under way at another place for one service.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
+    /// The name of the VM or failure domain.
+    pub(crate) name: String,
+    pub(crate) service: ServiceId,
+    /// When each request was sent, oldest first.
+    sent: Vec<Time>,
+    pub(crate) growth: Growth,
+    /// When the place last refused a request.
+    refused: Option<Time>,
+}
+
+impl Place {
+    pub(crate) fn new(now: Time, name: &str, service: &ServiceId, floor: f64) -> Self {
+        Self {
+            name: name.to_owned(),
+            service: service.clone(),
+            sent: Vec::new(),
+            growth: Growth::new(now, floor),
+            refused: None,
+        }
+    }
+
+    /// Whether anything of the place needs to be remembered.
+    pub(crate) fn in_use(&self, now: Time) -> bool {
+        !self.sent.is_empty() || self.growth.recent(now)
+    }
+
+    pub(crate) fn begin(&mut self, now: Time) {
+        self.sent.push(now);
+        self.growth.count();
+    }
+
+    pub(crate) fn end(&mut self, now: Time, refused: bool) {
+        if !self.sent.is_empty() {
+            self.sent.remove(0);
+        }
+        if refused {
+            self.refused = Some(now);
+            self.growth.cut(now);
+        }
+    }
+
+    /// The requests under way that the headroom does not contain yet: those
+    /// sent less than a round trip before it came.
+    fn unseen(&self, came: Time, trip: Duration) -> usize {
+        let first = self.sent.partition_point(|sent| *sent + trip < came);
+        self.sent.len() - first
+    }
+
+    /// What is left of headroom that came at a time, discounted with its age
+    /// and by what this VM has sent since.
+    pub(crate) fn left(
+        &self,
+        now: Time,
+        came: Time,
+        trip: Duration,
+        room: Headroom,
+        config: &SteerConfig,
+    ) -> Left {
+        let unseen = self.unseen(came, trip) as f64;
+        // A refusal is newer than headroom that was measured before it.
+        let refused = self.refused.is_some_and(|refused| refused >= came);
+        let free = if refused { 0 } else { room.free };
+        Left {
+            free: discounted(free, now.since(came), config) - unseen,
+            queued: f64::from(room.queued) + (unseen - f64::from(free)).max(0.0),
+            slots: room.slots,
+            latency: room.latency_us as f64,
+        }
+    }
+}
+
+/// What is left of a place's headroom.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Left {
+    /// Free slots; below zero when more was sent than was free.
+    pub(crate) free: f64,
+    /// Requests that wait.
+    pub(crate) queued: f64,
+    /// The slots that are offered.
+    pub(crate) slots: u32,
+    /// The mean time at a target, in microseconds.
+    pub(crate) latency: f64,
+}
+
+impl Left {
+    /// The headroom of this VM itself, which is exact.
+    pub(crate) fn exact(room: Headroom) -> Self {
+        Self {
+            free: f64::from(room.free),
+            queued: f64::from(room.queued),
+            slots: room.slots,
+            latency: room.latency_us as f64,
+        }
+    }
+
+    /// The expected time of an answer at a place that is `trip` away, in
+    /// microseconds.
+    pub(crate) fn cost(&self, trip: Duration) -> f64 {
+        let path = trip.as_micros() as f64;
+        let turn = self.latency / f64::from(self.slots.max(1));
+        let wait = if self.free >= 1.0 {
+            0.0
+        } else {
+            (self.queued + 1.0) * turn
+        };
+        path + wait + self.latency
+    }
+}
+
+/// The free slots that are still worth something after a time.
+fn discounted(free: u32, age: Duration, config: &SteerConfig) -> f64 {
+    if age > config.max_age {
+        return 0.0;
+    }
+    let halvings = age.as_secs_f64() / config.half_life.as_secs_f64();
+    f64::from(free) * 0.5_f64.powf(halvings)
+}
--- /dev/null
+++ b/crates/pimento_steer/src/steer.rs
@@ -0,0 +1,239 @@
+//! The state of steering at one entry VM.
+
+use crate::{BlockTable, LinkBudget, SteerConfig, View, hash, place::Place, view};
+use pimento_core::prelude::*;
+use pimento_rules::{Link, Region, Rules, Service};
+use rand::{SeedableRng, rngs::SmallRng};
+use std::sync::Arc;
+
+/// Where this VM is, from its settings.
+#[derive(Clone, Debug)]
+pub struct Home {
+    /// The name of the VM.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Its region.
+    pub region: RegionId,
+}
+
+/// The budget of the link to one region.
+#[derive(Clone, Debug)]
+pub(crate) struct Budget {
+    pub(crate) region: RegionId,
+    pub(crate) link: LinkBudget,
+}
+
+/// The share of a failure domain's blocks that look-ups keep there.
+#[derive(Clone, Debug)]
+struct Keep {
+    domain: DomainId,
+    service: ServiceId,
+    share: f64,
+}
+
+/// Steering at one entry VM.
+#[derive(Clone, Debug)]
+pub struct Steer {
+    pub(crate) config: SteerConfig,
+    pub(crate) home: Home,
+    pub(crate) rng: SmallRng,
+    pub(crate) version: u64,
+    pub(crate) services: Vec<Service>,
+    regions: Vec<Region>,
+    /// Failure domains with their regions, by name.
+    domains: Vec<(DomainId, RegionId)>,
+    links: Vec<Link>,
+    pub(crate) blocks: Arc<BlockTable>,
+    pub(crate) view: View,
+    /// When the view was last set.
+    viewed: Time,
+    /// What was sent to other places, by place and service.
+    pub(crate) places: Vec<Place>,
+    pub(crate) budgets: Vec<Budget>,
+    keeps: Vec<Keep>,
+}
+
+impl Steer {
+    /// Creates steering without rules and without a view.
+    pub fn new(config: SteerConfig, home: Home, seed: u64) -> Self {
+        Self {
+            config,
+            home,
+            rng: SmallRng::seed_from_u64(seed),
+            version: 0,
+            services: Vec::new(),
+            regions: Vec::new(),
+            domains: Vec::new(),
+            links: Vec::new(),
+            blocks: Arc::new(BlockTable::default()),
+            view: View::default(),
+            viewed: Time::ZERO,
+            places: Vec::new(),
+            budgets: Vec::new(),
+            keeps: Vec::new(),
+        }
+    }
+
+    /// Puts rules in force. The block table is handed in apart, since a large
+    /// one is built beside look-ups; see [`BlockTable::apply`].
+    pub fn set_rules(&mut self, now: Time, rules: &Rules, blocks: Arc<BlockTable>) {
+        self.version = rules.version;
+        self.services.clone_from(&rules.services);
+        self.regions.clone_from(&rules.regions);
+        self.links.clone_from(&rules.links);
+        let domains = rules.domains.iter();
+        self.domains = domains
+            .map(|d| (d.name.clone(), d.region.clone()))
+            .collect();
+        self.domains.sort();
+        self.blocks = blocks;
+        self.share_links(now);
+    }
+
+    /// Takes over what is now known of the other VMs.
+    pub fn set_view(&mut self, now: Time, view: View) {
+        self.view = view;
+        self.places.retain(|place| place.in_use(now));
+        self.share_links(now);
+        self.move_blocks(now);
+        self.viewed = now;
+    }
+
+    /// The region of a failure domain.
+    pub(crate) fn region_of(&self, domain: &str) -> Option<&RegionId> {
+        let found = self
+            .domains
+            .binary_search_by(|(name, _)| name.as_str().cmp(domain));
+        found.ok().map(|i| &self.domains[i].1)
+    }
+
+    /// The link between the own region and another.
+    fn link_to(&self, region: &RegionId) -> Option<&Link> {
+        let own = &self.home.region;
+        let joins = |l: &&Link| (&l.a, &l.b) == (own, region) || (&l.a, &l.b) == (region, own);
+        self.links.iter().find(joins)
+    }
+
+    /// The round trip between this VM and a failure domain.
+    pub(crate) fn trip(&self, domain: &str) -> Duration {
+        if domain == self.home.domain.as_str() {
+            return self.config.peer_trip;
+        }
+        match self.region_of(domain) {
+            Some(region) if *region == self.home.region => self.config.domain_trip,
+            Some(region) => self.link_to(region).map_or(self.config.far_trip, |link| {
+                Duration::from_millis(u64::from(link.latency)) * 2
+            }),
+            None => self.config.far_trip,
+        }
+    }
+
+    /// The share of the own region's slots that other regions may not take, in
+    /// percent; the lease holder enforces it.
+    pub fn reserve(&self) -> u8 {
+        let own = |region: &&Region| region.name == self.home.region;
+        self.regions.iter().find(own).map_or(0, |r| r.reserve)
+    }
+
+    /// Splits each link evenly over the region's failure domains, and each part
+    /// over the live entry VMs of the own one. Failure domains that are cut off
+    /// from each other thus never count on each other's part.
+    fn share_links(&mut self, now: Time) {
+        let own = &self.home.region;
+        let domains = self.domains.iter().filter(|(_, region)| region == own);
+        let sharers = domains.count().max(1) * self.view.peers.len().max(1);
+        let share = self.config.answer_share / sharers as f64;
+        for link in &self.links {
+            let region = match (link.a == *own, link.b == *own) {
+                (true, _) => &link.b,
+                (_, true) => &link.a,
+                _ => continue,
+            };
+            let found = self.budgets.binary_search_by(|b| b.region.cmp(region));
+            let i = found.unwrap_or_else(|i| {
+                let region = region.clone();
+                let link = LinkBudget::new(now, self.config.link_burst);
+                self.budgets.insert(i, Budget { region, link });
+                i
+            });
+            self.budgets[i].link.set_share(now, link.mbit, share);
+        }
+        let kept = |budget: &Budget| {
+            let links = self.links.iter();
+            links
+                .into_iter()
+                .any(|l| l.a == budget.region || l.b == budget.region)
+        };
+        self.budgets.retain(kept);
+    }
+
+    /// The headroom of a service in a failure domain: all of its slots, free
+    /// slots and waiting requests.
+    pub(crate) fn domain_room(&self, domain: &str, service: &str) -> (u32, u32, u32) {
+        let add = |sum: (u32, u32, u32), room: pimento_admit::Headroom| {
+            (sum.0 + room.slots, sum.1 + room.free, sum.2 + room.queued)
+        };
+        if domain == self.home.domain.as_str() {
+            let rooms = self
+                .view
+                .peers
+                .iter()
+                .map(|p| view::room(&p.rooms, service));
+            return rooms.fold((0, 0, 0), add);
+        }
+        let summaries = self.view.domains.iter();
+        let own = summaries.filter(|s| s.domain.as_str() == domain);
+        own.map(|s| view::room(&s.rooms, service))
+            .fold((0, 0, 0), add)
+    }
+
+    /// Moves the share of blocks that each failure domain keeps a step towards
+    /// what its headroom asks for. Small steps keep clients' cached answers
+    /// useful, and keep callers from rushing to a domain that frees up.
+    fn move_blocks(&mut self, now: Time) {
+        let step = self.config.block_rate * now.since(self.viewed).as_secs_f64().min(1.0);
+        let domains: Vec<DomainId> = self.domains.iter().map(|(name, _)| name.clone()).collect();
+        let services: Vec<ServiceId> = self.services.iter().map(|s| s.name.clone()).collect();
+        let mut keeps = Vec::with_capacity(domains.len() * services.len());
+        for domain in &domains {
+            for service in &services {
+                let old = self.kept(domain, service);
+                let (slots, free, queued) = self.domain_room(domain, service);
+                let wanted = if free > 0 || queued == 0 {
+                    1.0
+                } else {
+                    f64::from(slots) / f64::from(slots + queued)
+                };
+                keeps.push(Keep {
+                    domain: domain.clone(),
+                    service: service.clone(),
+                    share: old + (wanted - old).clamp(-step, step),
+                });
+            }
+        }
+        self.keeps = keeps;
+    }
+
+    /// The share of a failure domain's blocks that stay there.
+    fn kept(&self, domain: &str, service: &str) -> f64 {
+        let key = (domain, service);
+        let found = self
+            .keeps
+            .binary_search_by(|keep| (keep.domain.as_str(), keep.service.as_str()).cmp(&key));
+        found.map_or(1.0, |i| self.keeps[i].share)
+    }
+
+    /// Whether a block stays with a failure domain for now.
+    pub(crate) fn keeps(&self, domain: &str, service: &str, block: u64) -> bool {
+        hash::unit(block, hash::name(domain)) < self.kept(domain, service)
+    }
+
+    /// The rule of a service.
+    pub(crate) fn service(&self, name: &str) -> Option<&Service> {
+        let found = self
+            .services
+            .binary_search_by(|s| s.name.as_str().cmp(name));
+        found.ok().map(|i| &self.services[i])
+    }
+}
--- /dev/null
+++ b/crates/pimento_steer/tests/blocks.rs
@@ -0,0 +1,125 @@
+//! The block table against a plain list.
+
+use ipnet::{IpNet, Ipv4Net, Ipv6Net};
+use pimento_core::DomainId;
+use pimento_rules::Block;
+use pimento_steer::{BlockDelta, BlockTable};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
+
+fn domain(n: u32) -> DomainId {
+    DomainId::new(format!("d{n}")).unwrap()
+}
+
+/// A random net in a small space, so that nets often contain each other.
+fn net(rng: &mut SmallRng) -> IpNet {
+    if rng.random_bool(0.5) {
+        let address = Ipv4Addr::from_bits(rng.random_range(0..1 << 10) << 22);
+        let len = rng.random_range(0..=12);
+        return Ipv4Net::new(address, len).unwrap().trunc().into();
+    }
+    let address = Ipv6Addr::from_bits(rng.random_range(0..1 << 10) << 118);
+    let len = rng.random_range(0..=12);
+    Ipv6Net::new(address, len).unwrap().trunc().into()
+}
+
+fn ip(rng: &mut SmallRng) -> IpAddr {
+    if rng.random_bool(0.5) {
+        return Ipv4Addr::from_bits(rng.random()).into();
+    }
+    Ipv6Addr::from_bits(rng.random()).into()
+}
+
+/// The last block with the longest prefix.
+fn naive(blocks: &[Block], ip: IpAddr) -> Option<(IpNet, &DomainId)> {
+    let fit = blocks.iter().filter(|block| block.net.contains(&ip));
+    let best = fit.max_by_key(|block| block.net.prefix_len());
+    best.map(|block| (block.net, &block.domain))
+}
+
+fn change(rng: &mut SmallRng, model: &mut Vec<Block>) -> BlockDelta {
+    let mut delta = BlockDelta::default();
+    for _ in 0..rng.random_range(0..20) {
+        let net = net(rng);
+        if delta.set.iter().any(|b| b.net == net) || delta.removed.contains(&net) {
+            continue;
+        }
+        model.retain(|block| block.net != net);
+        if rng.random_bool(0.4) {
+            delta.removed.push(net);
+            continue;
+        }
+        let domain = domain(rng.random_range(0..5));
+        model.push(Block {
+            net,
+            domain: domain.clone(),
+        });
+        delta.set.push(Block { net, domain });
+    }
+    delta
+}
+
+fn check(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut model = Vec::new();
+    let mut table = BlockTable::default();
+    for _ in 0..10 {
+        let delta = change(&mut rng, &mut model);
+        table = table.apply(&delta);
+        assert_eq!(table.len(), model.len());
+        for _ in 0..50 {
+            let ip = ip(&mut rng);
+            assert_eq!(table.find_block(ip), naive(&model, ip), "{ip}");
+        }
+    }
+    let built = BlockTable::new(&model);
+    for _ in 0..50 {
+        let ip = ip(&mut rng);
+        assert_eq!(built.find(ip), table.find(ip), "{ip}");
+    }
+}
+
+#[test]
+fn naive_model() {
+    bolero::check!()
+        .with_type::<u64>()
+        .with_iterations(300)
+        .for_each(|seed| check(*seed));
+}
+
+#[test]
+fn old_table() {
+    let net: IpNet = "10.0.0.0/8".parse().unwrap();
+    let block = |n| Block {
+        net,
+        domain: domain(n),
+    };
+    let old = BlockTable::new(&[block(1)]);
+    let delta = BlockDelta {
+        set: vec![block(2)],
+        removed: Vec::new(),
+    };
+    let new = old.apply(&delta);
+    let ip = "10.1.2.3".parse().unwrap();
+    assert_eq!(old.find(ip), Some(&domain(1)));
+    assert_eq!(new.find(ip), Some(&domain(2)));
+    assert_eq!(
+        new.find("::ffff:10.1.2.3".parse().unwrap()),
+        Some(&domain(2))
+    );
+    assert_eq!(new.find("11.0.0.1".parse().unwrap()), None);
+}
+
+#[test]
+fn compact() {
+    let blocks: Vec<Block> = (0..10_000_u32)
+        .map(|n| Block {
+            net: Ipv4Net::new(Ipv4Addr::from_bits(n << 8), 24)
+                .unwrap()
+                .into(),
+            domain: domain(n % 46),
+        })
+        .collect();
+    let table = BlockTable::new(&blocks);
+    assert_eq!(table.bytes(), 8 * blocks.len());
+}
