--- a/crates/pimento_entry/src/answer.rs
+++ b/crates/pimento_entry/src/answer.rs
@@ -15,7 +15,7 @@
     Stream, StreamExt,
     stream::{self, LocalBoxStream},
 };
-use pimento_core::Verdict;
+use pimento_core::{TargetId, Verdict};
 use std::{fmt, io};
 
 /// An answer whose body may still be arriving.
@@ -25,6 +25,8 @@
 pub(crate) struct Answer {
     pub(crate) status: StatusCode,
     pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
+    /// The target that another entry VM names on a failure.
+    pub(crate) target: Option<TargetId>,
     /// The length of the body, if it was announced.
     pub(crate) length: Option<u64>,
     pub(crate) body: LocalBoxStream<'static, io::Result<Bytes>>,
@@ -60,20 +62,20 @@
             return Err(Unframed);
         }
         let headers = owned(response.headers());
-        if empty {
-            return Ok(Self {
-                status,
-                headers,
-                length,
-                body: stream::empty().boxed_local(),
-            });
-        }
-        let body = response.map(|chunk| chunk.map_err(io::Error::other));
+        let target = headers::text(response.headers(), headers::TARGET);
+        let target = target.and_then(|name| TargetId::new(name).ok());
+        let body = if empty {
+            stream::empty().boxed_local()
+        } else {
+            let body = response.map(|chunk| chunk.map_err(io::Error::other));
+            body.boxed_local()
+        };
         Ok(Self {
             status,
             headers,
+            target,
             length,
-            body: body.boxed_local(),
+            body,
         })
     }
 
@@ -88,6 +90,7 @@
         Self {
             status,
             headers,
+            target: None,
             length,
             body,
         }
@@ -113,6 +116,33 @@
         ))
     }
 
+    /// Keeps something until the body has ended or was given up.
+    pub(crate) fn keep(&mut self, kept: impl Sized + 'static) {
+        let body = std::mem::replace(&mut self.body, stream::empty().boxed_local());
+        self.body = body.inspect(move |_| _ = &kept).boxed_local();
+    }
+
+    /// Tells `done` how many bytes of the body came, and whether it was whole,
+    /// once the body has ended or was given up.
+    pub(crate) fn count_bytes(&mut self, done: impl FnOnce(u64, bool) + 'static) {
+        let body = std::mem::replace(&mut self.body, stream::empty().boxed_local());
+        let count = Count {
+            bytes: 0,
+            whole: false,
+            done: Some(Box::new(done)),
+        };
+        let counted = stream::unfold((body, count), |(mut body, mut count)| async move {
+            let next = body.next().await;
+            match &next {
+                Some(Ok(chunk)) => count.bytes += chunk.len() as u64,
+                Some(Err(_)) => {}
+                None => count.whole = true,
+            }
+            next.map(|item| (item, (body, count)))
+        });
+        self.body = counted.boxed_local();
+    }
+
     /// The verdict that another entry VM or a target put on a failure.
     pub(crate) fn verdict(&self) -> Option<Verdict> {
         let (_, value) = self
@@ -142,6 +172,21 @@
     }
 }
 
+/// Counts a body until it is dropped.
+struct Count {
+    bytes: u64,
+    whole: bool,
+    done: Option<Box<dyn FnOnce(u64, bool)>>,
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        if let Some(done) = self.done.take() {
+            done(self.bytes, self.whole);
+        }
+    }
+}
+
 /// Copies the headers that go on to the caller.
 fn owned(headers: &HeaderMap) -> Vec<(HeaderName, HeaderValue)> {
     headers::forwarded(headers)
--- a/crates/pimento_entry/src/callers.rs
+++ b/crates/pimento_entry/src/callers.rs
@@ -1,20 +1,21 @@
 //! The listener for callers: look-ups and requests.
 
 use crate::{
-    body::{self, BodyLimits},
-    headers, hops,
+    answer::Answer,
+    body::{self, Body, BodyLimits},
+    claim, hops,
     inbound::Inbound,
     node::Lookup,
+    once,
     problem::Problem,
     shared::{OpenRequest, Shared},
     upstream::Clients,
 };
 use actix_web::{HttpRequest, HttpResponse, ResponseError, http::StatusCode, web};
-use futures_util::StreamExt;
 use pimento_core::{ServiceId, Verdict};
 use pimento_log::{Event, event};
 use serde::{Deserialize, Serialize};
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 /// Adds the routes of the listener.
 pub(crate) fn routes(config: &mut web::ServiceConfig) {
@@ -56,10 +57,12 @@
     let caller = req.peer_addr().map(|peer| peer.ip());
     let block = match &query.block {
         Some(text) => {
-            let parsed = text.split('/').next().unwrap_or_default().parse::<IpAddr>();
-            Some(parsed.map_err(|e| bad("block", e.to_string()))?)
+            let address = text.split('/').next().unwrap_or_default();
+            address
+                .parse::<IpAddr>()
+                .map_err(|e| bad("block", e.to_string()))?
         }
-        None => caller,
+        None => caller.unwrap_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED)),
     };
     let message = Lookup { service, block };
     let reply = shared.node.send(message).await.ok().flatten();
@@ -91,7 +94,7 @@
     );
     match result {
         Ok(mut answer) => {
-            answer.body = answer.body.inspect(move |_| _ = &open).boxed_local();
+            answer.keep(open);
             answer.respond(&inbound.method)
         }
         Err(problem) => fail(&shared, &problem),
@@ -99,20 +102,21 @@
 }
 
 async fn serve(
-    shared: &Shared,
-    clients: &Clients,
+    shared: &web::Data<Shared>,
+    clients: &web::Data<Clients>,
     inbound: &Inbound,
     payload: web::Payload,
-) -> Result<crate::answer::Answer, Problem> {
-    let once = !inbound.service.repeatable;
-    if once && headers::text(&inbound.headers, headers::KEY).is_none() {
-        let detail = "a service that is not repeatable needs a UUIDv7 as key";
-        let problem = Problem::not_run(StatusCode::BAD_REQUEST, "no-key", detail);
-        return Err(problem.field(headers::KEY));
-    }
+) -> Result<Answer, Problem> {
     let limits = BodyLimits::of(shared, &inbound.service);
-    let body = body::take(payload, &inbound.headers, limits, once).await?;
-    hops::run(shared, clients, inbound, body).await
+    if inbound.service.repeatable {
+        let body = body::take(payload, &inbound.headers, limits, false).await?;
+        return hops::run(shared, clients, inbound, body).await;
+    }
+    let key = claim::key(inbound)?;
+    match body::take(payload, &inbound.headers, limits, true).await? {
+        Body::Held(body) => once::run(shared, clients, inbound, key, body).await,
+        Body::Stream(_) => unreachable!("a body that must be held is read whole"),
+    }
 }
 
 fn fail(shared: &Shared, problem: &Problem) -> HttpResponse {
--- /dev/null
+++ b/crates/pimento_entry/src/claim.rs
@@ -0,0 +1,325 @@
+//! Claims: the right to run a request that must not run twice.
+
+use crate::{
+    answer::Answer,
+    headers,
+    inbound::Inbound,
+    problem::Problem,
+    shared::{Shared, unix_millis},
+};
+use actix_web::{
+    http::{
+        Method, StatusCode,
+        header::{HeaderName, HeaderValue},
+    },
+    web,
+};
+use bytes::Bytes;
+use percent_encoding::percent_decode_str;
+use pimento_control::ControlError;
+use pimento_core::Verdict;
+use pimento_state::{
+    Command, Effect, Op,
+    ledger::{self, Cancel, Cause, Claim, Finish, Free, Holder, Kind, Slot},
+};
+use sha2::{Digest, Sha256};
+use std::time::Duration;
+use uuid::Uuid;
+
+/// The first wait before a claim that is in flight is asked for again; it
+/// doubles.
+const FIRST_POLL: Duration = Duration::from_millis(50);
+
+/// The longest such wait.
+const LAST_POLL: Duration = Duration::from_secs(1);
+
+/// How often a record of an outcome is tried again.
+const RECORD_TRIES: u32 = 10;
+
+/// The wait between those tries.
+const RECORD_WAIT: Duration = Duration::from_millis(500);
+
+/// The headers that make a request somebody's own.
+const CREDENTIALS: [&str; 2] = ["authorization", "cookie"];
+
+/// The claim that this VM holds for a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Held {
+    slot: Slot,
+    holder: Holder,
+    /// The claim whose place this request gives back, if it is a cancellation.
+    cancels: Option<Cancel>,
+}
+
+/// What a claim led to.
+#[derive(Debug)]
+pub(crate) enum Claimed {
+    /// This VM, and nobody else, may run the request.
+    Granted(Held),
+    /// The request ran before, with this answer.
+    Replay(Answer),
+}
+
+/// Reads the key of a request.
+pub(crate) fn key(inbound: &Inbound) -> Result<Uuid, Problem> {
+    parse_key(inbound, headers::KEY)?.ok_or_else(|| {
+        let detail = "a service that is not repeatable needs a UUIDv7 as key";
+        Problem::not_run(StatusCode::BAD_REQUEST, "no-key", detail).field(headers::KEY)
+    })
+}
+
+fn parse_key(inbound: &Inbound, name: &'static str) -> Result<Option<Uuid>, Problem> {
+    let Some(value) = inbound.headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default().trim_matches('"');
+    match Uuid::parse_str(text) {
+        Ok(key) if key.get_version_num() == 7 => Ok(Some(key)),
+        _ => {
+            let detail = "expected a UUIDv7";
+            Err(Problem::not_run(StatusCode::BAD_REQUEST, "bad-key", detail).field(name))
+        }
+    }
+}
+
+/// Claims a request, and waits while another attempt of it is in flight.
+pub(crate) async fn claim(
+    shared: &web::Data<Shared>,
+    inbound: &Inbound,
+    key: Uuid,
+    body: &Bytes,
+) -> Result<Claimed, Problem> {
+    let cancelled = parse_key(inbound, headers::CANCELS)?;
+    let resource = resource(inbound)?;
+    let held = Held {
+        slot: slot(inbound, key),
+        holder: Holder {
+            vm: shared.settings.vm.to_string(),
+            instance: shared.instance,
+            attempt: shared.next_id(),
+        },
+        cancels: cancelled.map(|key| Cancel {
+            slot: Some(slot(inbound, key)),
+            resource: resource.clone().unwrap_or_default(),
+        }),
+    };
+    let places = inbound.service.cap.as_ref().map_or(0, |cap| cap.limit);
+    let mut claim = Claim {
+        slot: Some(held.slot.clone()),
+        fingerprint: fingerprint(inbound, body),
+        resource: resource.filter(|_| takes_place(inbound, &held)),
+        limit: places,
+        holder: Some(held.holder.clone()),
+        timeout: 0,
+    };
+    let mut poll = FIRST_POLL;
+    let mut waited = false;
+    loop {
+        let left = inbound.deadline.since(shared.clock.now());
+        if left.is_zero() {
+            return Err(in_flight());
+        }
+        claim.timeout = left.as_millis() as u64;
+        let kind = match propose(shared, Op::Claim(claim.clone())).await {
+            Ok(kind) => kind,
+            Err(error) => {
+                // The claim may be in the log although nobody said so.
+                if !error.verdict.allows_resend() {
+                    record(shared, Op::Free(free(&held)));
+                }
+                return Err(if waited {
+                    in_flight()
+                } else {
+                    unreachable(error)
+                });
+            }
+        };
+        match kind {
+            Some(Kind::Granted(())) => return Ok(Claimed::Granted(held)),
+            Some(Kind::Replay(answer)) => return Ok(Claimed::Replay(replay(answer))),
+            Some(Kind::InFlight(_)) => {
+                waited = true;
+                tokio::time::sleep(poll.min(left)).await;
+                poll = (poll * 2).min(LAST_POLL);
+            }
+            other => return Err(refused(other)),
+        }
+    }
+}
+
+/// Whether the request counts against its resource's cap.
+fn takes_place(inbound: &Inbound, held: &Held) -> bool {
+    let safe = matches!(inbound.method, Method::GET | Method::HEAD | Method::OPTIONS);
+    inbound.service.cap.is_some() && !safe && held.cancels.is_none()
+}
+
+fn slot(inbound: &Inbound, key: Uuid) -> Slot {
+    Slot {
+        key: key.as_bytes().to_vec(),
+        tenant: inbound.tenant.to_string(),
+        service: inbound.service.name.to_string(),
+    }
+}
+
+/// The resource that the path names, for a service with a cap.
+fn resource(inbound: &Inbound) -> Result<Option<String>, Problem> {
+    let Some(cap) = &inbound.service.cap else {
+        return Ok(None);
+    };
+    let path = inbound.path.split('?').next().unwrap_or_default();
+    let count = usize::from(cap.segment) + 1;
+    let segments = path.split('/').skip(1).take(count).map(plain_segment);
+    let segments: Option<Vec<String>> = segments.collect();
+    match segments {
+        Some(mut segments) if segments.len() == count => Ok(segments.pop()),
+        _ => {
+            let detail = format!("segment {} of the path names no resource", cap.segment);
+            Err(Problem::not_run(StatusCode::BAD_REQUEST, "no-resource", detail).field("path"))
+        }
+    }
+}
+
+/// Decodes a segment, so that one resource has one name; none if a target
+/// might read the path as another one.
+fn plain_segment(segment: &str) -> Option<String> {
+    let decoded = percent_decode_str(segment).decode_utf8().ok()?;
+    let plain = !decoded.contains(['/', '\\']) && !matches!(&*decoded, "" | "." | "..");
+    plain.then(|| decoded.into_owned())
+}
+
+fn fingerprint(inbound: &Inbound, body: &Bytes) -> Vec<u8> {
+    let digest: [u8; 32] = Sha256::digest(body).into();
+    let mut credentials = Vec::new();
+    for name in CREDENTIALS {
+        for value in inbound.headers.get_all(name) {
+            credentials.extend_from_slice(value.as_bytes());
+            credentials.push(b'\n');
+        }
+    }
+    let method = inbound.method.as_str();
+    ledger::fingerprint(method, &inbound.path, &digest, &credentials).to_vec()
+}
+
+async fn propose(shared: &Shared, op: Op) -> Result<Option<Kind>, ControlError> {
+    let command = Command::new(unix_millis(), op);
+    let outcome = shared.control.propose(&command).await?;
+    match outcome.effect {
+        Some(Effect::Ledger(outcome)) => Ok(outcome.kind),
+        _ => Ok(None),
+    }
+}
+
+fn free(held: &Held) -> Free {
+    Free {
+        slot: Some(held.slot.clone()),
+        holder: Some(held.holder.clone()),
+    }
+}
+
+/// Records in the background that a claimed request was not run.
+pub(crate) fn not_run(shared: &web::Data<Shared>, held: &Held) {
+    record(shared, Op::Free(free(held)));
+}
+
+/// Records in the background that a claimed request ran, and gives back the
+/// place that it cancelled.
+pub(crate) fn ran(
+    shared: &web::Data<Shared>,
+    held: Held,
+    answer: Option<ledger::Answer>,
+    success: bool,
+) {
+    let finish = Finish {
+        slot: Some(held.slot),
+        holder: Some(held.holder),
+        answer,
+    };
+    record(shared, Op::Finish(finish));
+    if let Some(cancel) = held.cancels.filter(|_| success) {
+        record(shared, Op::Cancel(cancel));
+    }
+}
+
+/// Proposes an operation until the control group has it. All of them may be
+/// proposed again safely; one that never gets there leaves the claim to its
+/// deadline, after which resends are told that it may have run.
+fn record(shared: &web::Data<Shared>, op: Op) {
+    let shared = shared.clone();
+    actix_rt::spawn(async move {
+        for _ in 0..RECORD_TRIES {
+            if propose(&shared, op.clone()).await.is_ok() {
+                break;
+            }
+            tokio::time::sleep(RECORD_WAIT).await;
+        }
+    });
+}
+
+/// A stored answer as the caller sees it again.
+fn replay(answer: ledger::Answer) -> Answer {
+    let status = u16::try_from(answer.status).unwrap_or_default();
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = answer.headers.iter().filter_map(|header| {
+        let name = HeaderName::try_from(header.name.as_str()).ok()?;
+        Some((name, HeaderValue::from_bytes(&header.value).ok()?))
+    });
+    let replayed = (
+        HeaderName::from_static(headers::REPLAYED),
+        HeaderValue::from_static("true"),
+    );
+    let headers = headers.chain([replayed]).collect();
+    Answer::whole(status, headers, answer.body.into())
+}
+
+fn unreachable(error: ControlError) -> Problem {
+    // Nothing was dispatched on this claim, whatever became of it.
+    let detail = format!("the claim could not be recorded: {error}");
+    Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-ledger", detail)
+}
+
+fn in_flight() -> Problem {
+    let detail = "another attempt with this key may still be running";
+    Problem::new(StatusCode::CONFLICT, "in-flight", detail).with(Verdict::MayHaveRun)
+}
+
+fn refused(kind: Option<Kind>) -> Problem {
+    match kind {
+        Some(Kind::MayHaveRun(cause)) => may_have_run(cause),
+        Some(Kind::Mismatch(())) => {
+            let detail = "the key was used for another request";
+            Problem::not_run(StatusCode::UNPROCESSABLE_ENTITY, "key-mismatch", detail)
+                .field(headers::KEY)
+        }
+        Some(Kind::CapFull(limit)) => {
+            let detail = format!("the resource has no place left under its cap of {limit}");
+            Problem::not_run(StatusCode::CONFLICT, "cap-full", detail)
+        }
+        Some(Kind::TooOld(_)) => {
+            let detail = "the key is older than what is remembered";
+            let problem = Problem::new(StatusCode::GONE, "old-key", detail);
+            problem.with(Verdict::MayHaveRun).field(headers::KEY)
+        }
+        Some(Kind::LedgerFull(())) => {
+            let detail = "no further claims can be remembered";
+            Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "ledger-full", detail)
+        }
+        Some(Kind::Malformed(field)) => {
+            let field = ledger::Field::try_from(field);
+            let detail = format!("the claim is malformed: {field:?}");
+            Problem::not_run(StatusCode::BAD_REQUEST, "bad-claim", detail)
+        }
+        other => {
+            let detail = format!("the ledger answered {other:?}");
+            Problem::not_run(StatusCode::INTERNAL_SERVER_ERROR, "ledger", detail)
+        }
+    }
+}
+
+fn may_have_run(cause: i32) -> Problem {
+    let (detail, verdict) = match Cause::try_from(cause) {
+        Ok(Cause::NotStored) => ("the request ran; its answer is not stored", Verdict::Ran),
+        Ok(Cause::HolderDied) => ("the VM that ran it has died", Verdict::MayHaveRun),
+        _ => ("an earlier attempt may have run it", Verdict::MayHaveRun),
+    };
+    Problem::new(StatusCode::CONFLICT, "claimed", detail).with(verdict)
+}
--- a/crates/pimento_entry/src/dispatch.rs
+++ b/crates/pimento_entry/src/dispatch.rs
@@ -3,7 +3,7 @@
 use crate::{
     answer::Answer,
     body::Body,
-    hops::Failure,
+    hops::Failed,
     inbound::Inbound,
     permit::{Permit, Refusal, Submit, Waiting},
     problem::Problem,
@@ -25,14 +25,14 @@
     inbound: &Inbound,
     body: Body,
     tried: &[TargetId],
-) -> Result<Answer, Failure> {
+) -> Result<Answer, Failed> {
     let permit = admit(shared, inbound, tried).await?;
     let now = shared.clock.now();
     if now >= permit.grant.until || now >= inbound.deadline {
         permit.end(Ending::Cancelled);
         let detail = "the lease or the deadline ended before the request was sent";
         let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "late", detail);
-        return Err(Failure::from(problem));
+        return Err(Failed::from(problem));
     }
     let target = permit.grant.target.clone();
     let url = format!("http://{}{}", permit.grant.address, inbound.path);
@@ -45,7 +45,7 @@
         Ok(answer) => Ok(guard(answer, permit, shared, now, inbound.deadline)),
         Err(lost) => {
             permit.end(lost.ending);
-            Err(Failure {
+            Err(Failed {
                 problem: lost.problem,
                 target: Some(target),
             })
@@ -54,13 +54,9 @@
 }
 
 /// Waits for a slot.
-async fn admit(shared: &Shared, inbound: &Inbound, tried: &[TargetId]) -> Result<Permit, Failure> {
+async fn admit(shared: &Shared, inbound: &Inbound, tried: &[TargetId]) -> Result<Permit, Failed> {
     let id = shared.next_id();
     let (reply, granted) = oneshot::channel();
-    let foreign = inbound
-        .origin
-        .as_ref()
-        .is_some_and(|o| *o != *shared.settings.region);
     let submit = Submit {
         id,
         service: inbound.service.name.clone(),
@@ -68,7 +64,7 @@
         class: inbound.class,
         deadline: inbound.deadline,
         tried: tried.to_vec(),
-        foreign,
+        foreign: inbound.foreign,
         reply,
     };
     let mut waiting = Waiting {
@@ -88,7 +84,7 @@
                 ending: Ending::Cancelled,
             })
         }
-        Err(refusal) => Err(Failure::from(refused(refusal))),
+        Err(refusal) => Err(Failed::from(refused(refusal))),
     }
 }
 
@@ -103,12 +99,12 @@
 }
 
 /// A target that sheds says so; any other 503 is its answer.
-fn shed(answer: Answer, permit: Permit, target: TargetId) -> Result<Answer, Failure> {
+fn shed(answer: Answer, permit: Permit, target: TargetId) -> Result<Answer, Failed> {
     if answer.verdict() == Some(Verdict::NotRun) {
         permit.end(Ending::Shed);
         let detail = format!("target {target} shed the request");
         let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "shed", detail);
-        return Err(Failure {
+        return Err(Failed {
             problem,
             target: Some(target),
         });
--- a/crates/pimento_entry/src/forward.rs
+++ b/crates/pimento_entry/src/forward.rs
@@ -4,13 +4,13 @@
     answer::Answer,
     body::Body,
     headers,
-    hops::Failure,
+    hops::Failed,
     inbound::Inbound,
     problem::Problem,
     shared::Shared,
     upstream::{self, Clients},
 };
-use pimento_core::Verdict;
+use pimento_core::{TargetId, Verdict};
 use std::net::SocketAddr;
 
 /// Sends a request to another entry VM and takes the answer.
@@ -20,16 +20,22 @@
     inbound: &Inbound,
     body: Body,
     to: SocketAddr,
-) -> Result<Answer, Failure> {
+    tried: &[TargetId],
+) -> Result<Answer, Failed> {
     let url = format!("http://{to}/f/{}{}", inbound.service.name, inbound.path);
+    let settings = &shared.settings;
+    let origin = format!("{}/{}", settings.region, settings.domain);
+    let avoid: Vec<&str> = tried.iter().map(TargetId::as_str).collect();
+    let avoid = avoid.join(",");
     let extra = [
         (headers::LINK, shared.proof.as_str()),
-        (headers::ORIGIN, shared.settings.region.as_str()),
+        (headers::ORIGIN, origin.as_str()),
+        (headers::AVOID, avoid.as_str()),
     ];
     let limit = inbound.deadline.since(shared.clock.now());
     let answer = upstream::exchange(shared, clients, inbound, body, url, &extra, limit)
         .await
-        .map_err(|lost| Failure::from(lost.problem))?;
+        .map_err(|lost| Failed::from(lost.problem))?;
     match answer.verdict() {
         Some(verdict) => Err(failure(answer, verdict).await),
         None => Ok(answer),
@@ -40,14 +46,16 @@
 const PROBLEM: usize = 16 << 10;
 
 /// Takes over the failure that another entry VM reported.
-async fn failure(answer: Answer, verdict: Verdict) -> Failure {
+async fn failure(answer: Answer, verdict: Verdict) -> Failed {
     let status = answer.status;
+    let target = answer.target.clone();
     let detail = match answer.hold(PROBLEM).await {
         Ok((Some(body), _)) => detail(&body),
         Ok((None, _)) | Err(_) => None,
     };
     let detail = detail.unwrap_or_else(|| "another entry VM could not answer".into());
-    Failure::from(Problem::new(status, "forward", detail).with(verdict))
+    let problem = Problem::new(status, "forward", detail).with(verdict);
+    Failed { problem, target }
 }
 
 fn detail(body: &[u8]) -> Option<String> {
--- a/crates/pimento_entry/src/forwards.rs
+++ b/crates/pimento_entry/src/forwards.rs
@@ -3,7 +3,8 @@
 use crate::{
     answer::Answer,
     body::{self, BodyLimits},
-    dispatch, headers,
+    headers,
+    hops::{self, Failed},
     inbound::Inbound,
     problem::Problem,
     shared::{OpenRequest, Shared},
@@ -11,11 +12,12 @@
 };
 use actix_web::{
     HttpRequest, HttpResponse, ResponseError,
-    http::{StatusCode, header::HeaderValue},
+    http::{
+        StatusCode,
+        header::{HeaderName, HeaderValue},
+    },
     web,
 };
-use futures_util::StreamExt;
-use pimento_core::{TargetId, Verdict};
 use subtle::ConstantTimeEq;
 
 /// Adds the routes of the listener.
@@ -34,10 +36,10 @@
     let open = OpenRequest::begin(&shared);
     match serve(&req, payload, &shared, &clients).await {
         Ok(mut answer) => {
-            answer.body = answer.body.inspect(move |_| _ = &open).boxed_local();
+            answer.keep(open);
             answer.respond(req.method())
         }
-        Err(problem) => problem.error_response(),
+        Err(failed) => fail(&failed),
     }
 }
 
@@ -46,36 +48,30 @@
     payload: web::Payload,
     shared: &Shared,
     clients: &Clients,
-) -> Result<Answer, Problem> {
+) -> Result<Answer, Failed> {
     let proof = req.headers().get(headers::LINK).map(HeaderValue::as_bytes);
     let proved = proof.is_some_and(|proof| proof.ct_eq(shared.proof.as_bytes()).into());
     if !proved {
         let detail = "the sender did not prove the shared key";
-        return Err(Problem::not_run(
-            StatusCode::UNAUTHORIZED,
-            "no-proof",
-            detail,
-        ));
+        let problem = Problem::not_run(StatusCode::UNAUTHORIZED, "no-proof", detail);
+        return Err(problem.into());
     }
-    let inbound = Inbound::check(req, shared)?;
+    let inbound = Inbound::check(req, shared)?.forwarded(shared);
     let limits = BodyLimits::of(shared, &inbound.service);
-    let mut body = body::take(payload, &inbound.headers, limits, false).await?;
-    let mut tried: Vec<TargetId> = Vec::new();
-    loop {
-        let again = body.again();
-        let failure = match dispatch::send(shared, clients, &inbound, body, &tried).await {
-            Ok(answer) => return Ok(answer),
-            Err(failure) => failure,
-        };
-        // Only a refusal by a target is worth another target of this VM; all
-        // else is for the first entry VM to decide.
-        let refused = failure.problem.verdict == Some(Verdict::NotRun);
-        match (again, failure.target) {
-            (Some(next), Some(target)) if refused => {
-                tried.push(target);
-                body = next;
-            }
-            _ => return Err(failure.problem),
-        }
+    let body = body::take(payload, &inbound.headers, limits, false).await?;
+    hops::run_once(shared, clients, &inbound, body).await
+}
+
+/// Tells the first entry VM how the attempt failed, and at which target.
+fn fail(failed: &Failed) -> HttpResponse {
+    let mut response = failed.problem.error_response();
+    let value = failed
+        .target
+        .as_ref()
+        .map(|target| HeaderValue::from_str(target));
+    if let Some(Ok(value)) = value {
+        let name = HeaderName::from_static(headers::TARGET);
+        response.headers_mut().insert(name, value);
     }
+    response
 }
--- a/crates/pimento_entry/src/headers.rs
+++ b/crates/pimento_entry/src/headers.rs
@@ -17,19 +17,33 @@
 /// The proof of the shared key between entry VMs.
 pub(crate) const LINK: &str = "pimento-link";
 
-/// The region of the entry VM that forwards a request.
+/// The region and the failure domain of the entry VM that forwards a request.
 pub(crate) const ORIGIN: &str = "pimento-origin";
 
+/// Targets that earlier attempts of a forwarded request used.
+pub(crate) const AVOID: &str = "pimento-avoid";
+
+/// The target that had a failed attempt, told between entry VMs.
+pub(crate) const TARGET: &str = "pimento-target";
+
+/// The key of the request that a caller cancels.
+pub(crate) const CANCELS: &str = "pimento-cancels";
+
+/// Set on an answer that was stored for resends.
+pub(crate) const REPLAYED: &str = "pimento-replayed";
+
 /// Headers that belong to one connection (RFC 9110, section 7.6.1), or that the
 /// next hop sets itself.
-const HOP: [&str; 15] = [
+const HOP: [&str; 17] = [
     "connection",
     "content-length",
     "expect",
     "host",
     "keep-alive",
+    "pimento-avoid",
     "pimento-link",
     "pimento-origin",
+    "pimento-target",
     "pimento-timeout-ms",
     "proxy-authenticate",
     "proxy-authorization",
--- a/crates/pimento_entry/src/inbound.rs
+++ b/crates/pimento_entry/src/inbound.rs
@@ -5,8 +5,9 @@
     HttpRequest,
     http::{Method, StatusCode, header::HeaderMap},
 };
-use pimento_core::{Class, TenantId, Time};
+use pimento_core::{Class, TargetId, TenantId, Time};
 use pimento_rules::Service;
+use pimento_steer::Origin;
 use std::time::Duration;
 
 /// The tenant of requests that name none.
@@ -23,8 +24,12 @@
     pub(crate) tenant: TenantId,
     pub(crate) class: Class,
     pub(crate) deadline: Time,
-    /// The region of the forwarding entry VM; none if a caller sent it.
-    pub(crate) origin: Option<String>,
+    /// Who handed it over.
+    pub(crate) origin: Origin,
+    /// Whether an entry VM of another region forwarded it.
+    pub(crate) foreign: bool,
+    /// Targets that earlier attempts used.
+    pub(crate) avoid: Vec<TargetId>,
 }
 
 impl Inbound {
@@ -57,9 +62,27 @@
             method: req.method().clone(),
             headers: req.headers().clone(),
             service: service.clone(),
-            origin: headers::text(req.headers(), headers::ORIGIN).map(str::to_owned),
+            origin: Origin::Caller,
+            foreign: false,
+            avoid: Vec::new(),
         })
     }
+
+    /// Takes over what a forwarding entry VM says of itself and of earlier
+    /// attempts.
+    pub(crate) fn forwarded(mut self, shared: &Shared) -> Self {
+        let from = headers::text(&self.headers, headers::ORIGIN).unwrap_or_default();
+        let (region, domain) = from.split_once('/').unwrap_or_default();
+        let near = domain == shared.settings.domain.as_str();
+        self.origin = if near { Origin::Peer } else { Origin::Domain };
+        self.foreign = region != shared.settings.region.as_str();
+        let avoid = headers::text(&self.headers, headers::AVOID).unwrap_or_default();
+        self.avoid = avoid
+            .split(',')
+            .filter_map(|name| TargetId::new(name).ok())
+            .collect();
+        self
+    }
 }
 
 fn bad_header(name: &str, detail: impl Into<String>) -> Problem {
--- a/crates/pimento_entry/src/install.rs
+++ b/crates/pimento_entry/src/install.rs
@@ -12,7 +12,9 @@
 use actix::prelude::*;
 use actix_web::{App, HttpServer, dev::ServerHandle, web};
 use anyhow::Context as _;
+use arc_swap::ArcSwap;
 use hmac::{Hmac, Mac};
+use pimento_control::{Control, ControlClient, Subscribe};
 use pimento_core::Clock;
 use pimento_link::Links;
 use pimento_log::Logger;
@@ -22,6 +24,7 @@
     fs,
     net::{SocketAddr, TcpListener},
     path::Path,
+    sync::Arc,
     time::Duration,
 };
 
@@ -84,23 +87,34 @@
         settings: &Settings,
         sockets: Sockets,
         links: Links,
+        replica: Option<Addr<Control>>,
         log: &Logger,
     ) -> anyhow::Result<Self> {
         let clock = Clock::start();
         let instance = unix_millis();
+        let control = ControlClient::new(links.clone(), &settings.control);
+        let rules = Arc::new(ArcSwap::default());
         let parts = NodeParts {
             settings: settings.clone(),
             clock,
             links,
             log: log.clone(),
+            control: control.clone(),
+            rules: Arc::clone(&rules),
             instance,
         };
-        let node = Node::new(parts).start();
+        let node = Node::create(|ctx| Node::new(parts, ctx.address()));
+        if let Some(replica) = &replica {
+            replica.do_send(Subscribe(node.clone().recipient()));
+        }
         let shared = web::Data::new(Shared::new(Parts {
             settings: settings.clone(),
             clock,
             log: log.clone(),
             node,
+            control,
+            rules,
+            replica,
             metrics: Metrics::new()?,
             token: secret(&settings.secrets.operators, "secrets.operators")?,
             proof: proof(&secret(&settings.secrets.links, "secrets.links")?),
@@ -150,9 +164,15 @@
         Ok(())
     }
 
-    /// Stops gracefully: no request in flight is cut off.
-    pub async fn stop(self) {
-        stop::run(&self.shared, &self.servers).await;
+    /// Waits until an operator drains this VM.
+    pub async fn drained(&self) {
+        self.shared.drain.notified().await;
+    }
+
+    /// Stops gracefully: no request in flight is cut off, unless it takes longer
+    /// than its service allows; returns the number of those.
+    pub async fn stop(self) -> usize {
+        stop::run(&self.shared, &self.servers).await
     }
 }
 
--- a/crates/pimento_entry/src/node.rs
+++ b/crates/pimento_entry/src/node.rs
@@ -2,23 +2,31 @@
 
 mod admission;
 mod leasing;
+mod membership;
 mod messages;
 mod routing;
+mod rules;
 mod status;
 
 pub(crate) use messages::{
-    Announce, BeginStop, Drain, GetStatus, Hop, Lookup, NodeStatus, Route, SetRules, TargetStatus,
+    Announce, BeginStop, DomainStatus, Drain, GetStatus, Lookup, NodeStatus, PeerStatus, Pulled,
+    Route, Routed, Settle, TargetStatus,
 };
 
 use crate::permit::{Grant, Refusal};
 use actix::prelude::*;
+use arc_swap::ArcSwap;
 use pimento_admit::{Admit, AdmitConfig};
+use pimento_control::ControlClient;
 use pimento_core::{Clock, Time};
-use pimento_lease::{Candidate, LeaseConfig, Leases};
-use pimento_link::Links;
+use pimento_lease::{LeaseConfig, Leases};
+use pimento_link::{Channel, Links};
 use pimento_log::Logger;
-use pimento_rules::Rules;
+use pimento_members::{Config, Members};
+use pimento_rules::{Follower, Rules};
 use pimento_settings::Settings;
+use pimento_steer::{BlockTable, Home, Steer, SteerConfig};
+use rules::Sync;
 use std::{sync::Arc, time::Duration};
 use tokio::sync::oneshot;
 
@@ -28,6 +36,9 @@
 /// The time between two looks at leases.
 const LEASE_TICK: Duration = Duration::from_millis(100);
 
+/// The time between two looks at membership.
+const MEMBER_TICK: Duration = Duration::from_millis(100);
+
 /// A request that waits for a slot.
 type Waiter = (u64, oneshot::Sender<Result<Grant, Refusal>>);
 
@@ -41,9 +52,19 @@
     clock: Clock,
     links: Links,
     log: Logger,
-    rules: Arc<Rules>,
+    control: ControlClient,
+    me: Addr<Self>,
+    /// The rules in force, which the listeners read.
+    rules: Arc<ArcSwap<Rules>>,
+    follower: Follower,
+    sync: Sync,
+    pulling: bool,
+    next_ask: Time,
+    table: Arc<BlockTable>,
     leases: Leases,
     admit: Admit,
+    members: Members,
+    steer: Steer,
     /// Ascending by request.
     waiters: Vec<Waiter>,
     stopping: bool,
@@ -56,38 +77,48 @@
     pub(crate) clock: Clock,
     pub(crate) links: Links,
     pub(crate) log: Logger,
+    pub(crate) control: ControlClient,
+    pub(crate) rules: Arc<ArcSwap<Rules>>,
     /// The start of the process, in milliseconds since the Unix epoch.
     pub(crate) instance: u64,
 }
 
 impl Node {
-    pub(crate) fn new(parts: NodeParts) -> Self {
-        let listen = &parts.settings.listen;
-        let listener = listen.targets.unwrap_or(listen.operators);
-        let config = LeaseConfig::new(parts.settings.vm.clone(), listener, parts.instance);
+    pub(crate) fn new(parts: NodeParts, me: Addr<Self>) -> Self {
+        let settings = parts.settings;
+        let instance = parts.instance;
+        let now = parts.clock.now();
+        let listener = settings.listen.targets.unwrap_or(settings.listen.operators);
+        let lease = LeaseConfig::new(settings.vm.clone(), listener, instance);
+        let info = membership::info(&settings, instance);
+        let member = Config::new(info, settings.seeds.clone());
+        let home = Home {
+            vm: settings.vm.clone(),
+            domain: settings.domain.clone(),
+            region: settings.region.clone(),
+        };
         Self {
             clock: parts.clock,
             links: parts.links,
             log: parts.log,
-            rules: Arc::default(),
-            leases: Leases::new(config),
-            admit: Admit::new(AdmitConfig::default(), parts.instance),
+            control: parts.control,
+            me,
+            rules: parts.rules,
+            follower: Follower::default(),
+            sync: Sync::Starting { since: now },
+            pulling: false,
+            next_ask: now,
+            table: Arc::default(),
+            leases: Leases::new(lease),
+            admit: Admit::new(AdmitConfig::default(), instance),
+            members: Members::new(member, now, instance),
+            steer: Steer::new(SteerConfig::default(), home, instance),
             waiters: Vec::new(),
             stopping: false,
-            settings: parts.settings,
+            settings,
         }
     }
 
-    /// The entry VMs of the failure domain that seem alive.
-    fn live(&self) -> Vec<Candidate> {
-        let listen = &self.settings.listen;
-        let listener = listen.targets.unwrap_or(listen.operators);
-        vec![Candidate {
-            vm: self.settings.vm.clone(),
-            listener,
-        }]
-    }
-
     fn now(&self) -> Time {
         self.clock.now()
     }
@@ -97,15 +128,20 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.set_mailbox_capacity(MAILBOX);
         ctx.run_interval(ADMIT_TICK, |node, _| node.tick_admission());
         ctx.run_interval(LEASE_TICK, |node, _| node.tick_leases());
+        ctx.run_interval(MEMBER_TICK, |node, _| {
+            node.tick_members();
+            node.tick_view();
+            node.tick_rules();
+        });
+        for channel in [Channel::Members, Channel::Lease, Channel::Rules] {
+            self.links.subscribe(channel, ctx.address().recipient());
+        }
     }
 }
 
-impl Handler<SetRules> for Node {
-    type Result = ();
-
-    fn handle(&mut self, msg: SetRules, _ctx: &mut Self::Context) {
-        self.rules = msg.rules;
-    }
-}
+/// The messages that may wait for the actor; requests beyond them fail as not
+/// run.
+const MAILBOX: usize = 16_384;
--- a/crates/pimento_entry/src/node/admission.rs
+++ b/crates/pimento_entry/src/node/admission.rs
@@ -10,7 +10,8 @@
     type Result = ();
 
     fn handle(&mut self, msg: Submit, _ctx: &mut Self::Context) {
-        let Some(service) = self.rules.service(&msg.service) else {
+        let rules = self.rules.load();
+        let Some(service) = rules.service(&msg.service) else {
             drop(msg.reply.send(Err(Refusal::NoService)));
             return;
         };
@@ -22,6 +23,7 @@
             deadline: msg.deadline,
             queue: service.queue.clone(),
             avoid: msg.tried,
+            reserve: msg.foreign.then(|| self.steer.reserve()),
         };
         match self.waiters.binary_search_by_key(&msg.id, |(id, _)| *id) {
             Ok(_) => return,
--- a/crates/pimento_entry/src/node/leasing.rs
+++ b/crates/pimento_entry/src/node/leasing.rs
@@ -40,6 +40,9 @@
     fn handle(&mut self, _msg: BeginStop, _ctx: &mut Self::Context) {
         self.stopping = true;
         self.release_all();
+        let now = self.now();
+        let effects = self.members.leave(now);
+        self.joined(effects);
     }
 }
 
@@ -60,7 +63,7 @@
     }
 
     /// Follows changes of leases in admission.
-    fn leased(&mut self, now: Time, effects: Vec<Effect>) {
+    pub(super) fn leased(&mut self, now: Time, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
                 Effect::Taken { target, epoch, .. } => {
@@ -128,6 +131,6 @@
     }
 
     fn link_of(&self, vm: &VmId) -> Option<SocketAddr> {
-        (*vm == self.settings.vm).then_some(self.settings.listen.links)
+        self.members.peer(vm).map(|peer| peer.info.link)
     }
 }
--- /dev/null
+++ b/crates/pimento_entry/src/node/membership.rs
@@ -0,0 +1,111 @@
+//! Membership, and what other VMs send this one.
+
+use super::Node;
+use actix::prelude::*;
+use pimento_admit::Headroom;
+use pimento_core::ServiceId;
+use pimento_lease::{Candidate, Release};
+use pimento_link::{Channel, Incoming};
+use pimento_log::{Event, event};
+use pimento_members::{Effect, Info, Message, ServiceLoad};
+use pimento_settings::Settings;
+use prost::Message as _;
+
+impl Handler<Incoming> for Node {
+    type Result = ();
+
+    fn handle(&mut self, msg: Incoming, _ctx: &mut Self::Context) {
+        let now = self.now();
+        match msg.channel {
+            Channel::Members => {
+                if let Ok(message) = Message::decode(msg.payload) {
+                    let effects = self.members.receive(now, message);
+                    self.joined(effects);
+                }
+            }
+            Channel::Lease => {
+                if let Ok(release) = Release::decode(msg.payload) {
+                    let effects = self.leases.accept(now, release);
+                    self.leased(now, effects);
+                }
+            }
+            Channel::Rules => self.serve_rules(msg),
+            Channel::Alive | Channel::Consensus | Channel::Control => {}
+        }
+    }
+}
+
+impl Node {
+    pub(super) fn tick_members(&mut self) {
+        let now = self.now();
+        self.members.set_load(self.loads());
+        let effects = self.members.tick(now);
+        self.joined(effects);
+    }
+
+    /// Carries out the effects of membership.
+    pub(super) fn joined(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => {
+                    let payload = message.encode_to_vec().into();
+                    self.links.send(to, Channel::Members, payload);
+                }
+                Effect::Alive(vm) => event!(self.log, Event::VmAlive, "peer" => %vm),
+                Effect::Dead(vm) => event!(self.log, Event::VmDead, "peer" => %vm),
+                Effect::Left(vm) => event!(self.log, Event::VmLeft, "peer" => %vm),
+                Effect::Newer { version, link, .. } => self.pull_rules(version, link),
+            }
+        }
+    }
+
+    /// The entry VMs of the failure domain that seem alive, this one included
+    /// unless it is stopping.
+    pub(super) fn live(&self) -> Vec<Candidate> {
+        let me = (!self.stopping).then(|| self.members.me());
+        let peers = self.members.live().map(|peer| &peer.info);
+        me.into_iter().chain(peers).filter_map(candidate).collect()
+    }
+
+    /// What this VM's held slots carry, by service.
+    fn loads(&self) -> Vec<ServiceLoad> {
+        let now = self.now();
+        let services = self.admit.services();
+        services
+            .map(|service| load(service, self.admit.headroom(now, service)))
+            .collect()
+    }
+}
+
+fn candidate(info: &Info) -> Option<Candidate> {
+    let listener = info.targets?;
+    Some(Candidate {
+        vm: info.vm.clone(),
+        listener,
+    })
+}
+
+fn load(service: &ServiceId, room: Headroom) -> ServiceLoad {
+    ServiceLoad {
+        service: service.clone(),
+        slots: room.slots,
+        free: room.free,
+        queued: room.queued,
+        latency: u32::try_from(room.latency_us).unwrap_or(u32::MAX),
+        cold: 0,
+    }
+}
+
+/// What this VM tells others of itself.
+pub(super) fn info(settings: &Settings, incarnation: u64) -> Info {
+    Info {
+        vm: settings.vm.clone(),
+        region: settings.region.clone(),
+        domain: settings.domain.clone(),
+        incarnation,
+        link: settings.listen.links,
+        callers: settings.listen.callers,
+        forwards: settings.listen.forwards,
+        targets: settings.listen.targets,
+    }
+}
--- a/crates/pimento_entry/src/node/messages.rs
+++ b/crates/pimento_entry/src/node/messages.rs
@@ -1,16 +1,15 @@
 //! What the listeners ask the node.
 
-#![expect(dead_code, reason = "a single VM routes nothing to others")]
-
 use crate::callers::LookupReply;
 use actix::prelude::*;
-use pimento_core::{DomainId, RegionId, ServiceId, TargetId, VmId};
+use pimento_core::{Class, DomainId, RegionId, ServiceId, TargetId, VmId};
 use pimento_lease::{AnnounceReply, Announcement, TargetState};
-use pimento_rules::Rules;
+use pimento_rules::RulesPush;
+use pimento_steer::{Hop, Origin, Outcome};
 use serde::Serialize;
 use std::{
     net::{IpAddr, SocketAddr},
-    sync::Arc,
+    time::Duration,
 };
 
 /// A target's announcement.
@@ -25,34 +24,44 @@
 #[rtype(result = "Option<LookupReply>")]
 pub(crate) struct Lookup {
     pub(crate) service: ServiceId,
-    pub(crate) block: Option<IpAddr>,
+    pub(crate) block: IpAddr,
 }
 
 /// Asks where the next attempt of a request goes.
 #[derive(Debug, Message)]
-#[rtype(result = "Option<Hop>")]
+#[rtype(result = "Option<Routed>")]
 pub(crate) struct Route {
     pub(crate) service: ServiceId,
+    pub(crate) class: Class,
+    pub(crate) origin: Origin,
     /// Entry VMs that earlier attempts used.
     pub(crate) tried: Vec<VmId>,
-    /// Whether this VM's own targets may be used.
-    pub(crate) local: bool,
 }
 
-/// The next hop of a request.
+/// Where an attempt goes.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) enum Hop {
-    /// A target whose lease this VM holds.
-    Local,
-    /// Another entry VM.
-    Vm { vm: VmId, forwards: SocketAddr },
+pub(crate) struct Routed {
+    pub(crate) hop: Hop,
+    /// How long the attempt takes at least.
+    pub(crate) expected: Duration,
+}
+
+/// Tells how a request ended that was passed to another VM.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Settle {
+    pub(crate) service: ServiceId,
+    pub(crate) hop: Hop,
+    pub(crate) outcome: Outcome,
 }
 
-/// New rules are in force.
+/// What a pull of the rules brought.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
-pub(crate) struct SetRules {
-    pub(crate) rules: Arc<Rules>,
+pub(crate) struct Pulled {
+    pub(crate) push: Option<RulesPush>,
+    /// Whether a quorum of control VMs confirmed it.
+    pub(crate) confirmed: bool,
 }
 
 /// An operator drains a target.
@@ -81,6 +90,32 @@
     pub(crate) version: u64,
     pub(crate) stopping: bool,
     pub(crate) targets: Vec<TargetStatus>,
+    /// The other entry VMs of the failure domain.
+    pub(crate) peers: Vec<PeerStatus>,
+    /// The other failure domains.
+    pub(crate) domains: Vec<DomainStatus>,
+}
+
+/// Another entry VM of the failure domain.
+#[derive(Debug, Serialize)]
+pub(crate) struct PeerStatus {
+    pub(crate) vm: VmId,
+    pub(crate) state: &'static str,
+    pub(crate) version: u64,
+}
+
+/// Another failure domain, as its newest summary says.
+#[derive(Debug, Serialize)]
+pub(crate) struct DomainStatus {
+    pub(crate) domain: DomainId,
+    pub(crate) region: Option<RegionId>,
+    pub(crate) live: u32,
+    pub(crate) total: u32,
+    /// The lowest version in force among its live VMs.
+    pub(crate) low: u64,
+    /// The highest one.
+    pub(crate) high: u64,
+    pub(crate) age_ms: u64,
 }
 
 /// A target whose lease this VM holds.
--- a/crates/pimento_entry/src/node/routing.rs
+++ b/crates/pimento_entry/src/node/routing.rs
@@ -1,32 +1,120 @@
 //! Where callers and requests go.
 
-use super::{Hop, Lookup, Node, Route};
+use super::{Lookup, Node, Route, Routed, Settle};
 use crate::callers::LookupReply;
 use actix::prelude::*;
+use pimento_admit::Headroom;
+use pimento_core::{Time, VmId};
+use pimento_members::{Contact, Domain, Info, ServiceLoad};
+use pimento_steer::{Ask, Entry, Peer, Room, Summary, View};
+use std::time::Duration;
 
 impl Handler<Lookup> for Node {
     type Result = Option<LookupReply>;
 
     fn handle(&mut self, msg: Lookup, _ctx: &mut Self::Context) -> Self::Result {
-        let service = self.rules.service(&msg.service)?;
+        self.rules.load().service(&msg.service)?;
+        let found = self.steer.lookup(self.now(), &msg.service, msg.block);
         Some(LookupReply {
-            version: self.rules.version,
-            ttl_ms: u64::from(service.ttl),
-            entries: self.settings.listen.callers.into_iter().collect(),
-            stale: false,
+            version: found.version,
+            ttl_ms: found.ttl.as_millis() as u64,
+            entries: found.entries,
+            stale: found.stale,
         })
     }
 }
 
 impl Handler<Route> for Node {
-    type Result = Option<Hop>;
+    type Result = Option<Routed>;
 
     fn handle(&mut self, msg: Route, _ctx: &mut Self::Context) -> Self::Result {
         let now = self.now();
-        let has = self
-            .leases
-            .held(now)
-            .any(|view| *view.service == msg.service);
-        (msg.local && has).then_some(Hop::Local)
+        let local = self.admit.headroom(now, &msg.service);
+        let ask = Ask {
+            service: &msg.service,
+            class: msg.class,
+            origin: msg.origin,
+            tried: &msg.tried,
+            local,
+        };
+        let hop = self.steer.route(now, &ask)?;
+        let expected = Duration::from_micros(local.latency_us);
+        Some(Routed { hop, expected })
+    }
+}
+
+impl Handler<Settle> for Node {
+    type Result = ();
+
+    fn handle(&mut self, msg: Settle, _ctx: &mut Self::Context) {
+        let now = self.now();
+        self.steer.settle(now, &msg.service, &msg.hop, msg.outcome);
+    }
+}
+
+impl Node {
+    /// Hands steering what membership and admission know.
+    pub(super) fn tick_view(&mut self) {
+        let now = self.now();
+        let own = entry(self.members.me()).map(|entry| Peer {
+            entry,
+            stopping: self.stopping,
+            time: now,
+            rooms: self.rooms(now),
+        });
+        let peers = self.members.live().filter_map(|peer| {
+            Some(Peer {
+                entry: entry(&peer.info)?,
+                stopping: false,
+                time: peer.loaded,
+                rooms: peer.loads.iter().map(room).collect(),
+            })
+        });
+        let peers = own.into_iter().chain(peers).collect();
+        let domains = self.members.domains().iter().map(summary).collect();
+        self.steer.set_view(now, View { peers, domains });
+    }
+
+    fn rooms(&self, now: Time) -> Vec<Room> {
+        let services = self.admit.services();
+        let rooms = services.map(|service| Room {
+            service: service.clone(),
+            headroom: self.admit.headroom(now, service),
+        });
+        rooms.collect()
+    }
+}
+
+fn entry(info: &Info) -> Option<Entry> {
+    contact(&info.vm, &Contact::from(info))
+}
+
+fn contact(vm: &VmId, contact: &Contact) -> Option<Entry> {
+    Some(Entry {
+        vm: vm.clone(),
+        callers: contact.callers?,
+        forwards: contact.forwards?,
+    })
+}
+
+fn room(load: &ServiceLoad) -> Room {
+    Room {
+        service: load.service.clone(),
+        headroom: Headroom {
+            slots: load.slots,
+            free: load.free,
+            queued: load.queued,
+            latency_us: u64::from(load.latency),
+        },
+    }
+}
+
+fn summary(domain: &Domain) -> Summary {
+    let entries = domain.contacts.iter();
+    Summary {
+        domain: domain.id.clone(),
+        entries: entries.filter_map(|c| contact(&c.vm, c)).collect(),
+        time: domain.taken - domain.lag,
+        rooms: domain.services.iter().map(|h| room(&h.load)).collect(),
     }
 }
--- /dev/null
+++ b/crates/pimento_entry/src/node/rules.rs
@@ -0,0 +1,198 @@
+//! Keeping this VM's rules in step with the control group.
+
+use super::{Node, Pulled};
+use actix::prelude::*;
+use bytes::Bytes;
+use pimento_control::RulesChanged;
+use pimento_core::Time;
+use pimento_link::{Channel, Incoming};
+use pimento_log::{Event, event};
+use pimento_rules::{Rules, RulesPull, RulesPush, Step};
+use pimento_steer::BlockTable;
+use prost::Message as _;
+use rand::Rng;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+/// The longest wait for a peer's or a control VM's answer.
+const PULL_LIMIT: Duration = Duration::from_secs(2);
+
+/// How long a starting VM looks for a quorum of control VMs before it takes
+/// what the peers of its failure domain have.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// The mean time between two questions of one failure domain to the control
+/// VMs whether there is anything newer.
+const ASK_EVERY: Duration = Duration::from_secs(1);
+
+/// The time between two tries of a VM that has no confirmed rules yet.
+const START_EVERY: Duration = Duration::from_millis(500);
+
+/// How far this VM is with its rules.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Sync {
+    /// No rules are in force here: they might be older than what was in force
+    /// here before the restart.
+    Starting { since: Time },
+    /// Rules are in force here.
+    Serving,
+}
+
+impl Handler<Pulled> for Node {
+    type Result = ();
+
+    fn handle(&mut self, msg: Pulled, _ctx: &mut Self::Context) {
+        self.pulling = false;
+        let Some(push) = msg.push else {
+            return self.fall_back();
+        };
+        match self.follower.receive(&push) {
+            Ok(Step::Unchanged) if msg.confirmed && push.version == self.follower.version() => {
+                self.serve();
+            }
+            Ok(Step::Unchanged) => {}
+            Ok(Step::Partial | Step::Applied(_)) => {
+                self.in_force();
+                self.pull_again(msg.confirmed);
+            }
+            Err(e) => event!(self.log, Event::NoteRefused, "reason" => %e),
+        }
+    }
+}
+
+impl Handler<RulesChanged> for Node {
+    type Result = ();
+
+    fn handle(&mut self, msg: RulesChanged, _ctx: &mut Self::Context) {
+        self.follower.heard(msg.rules.version);
+        if self.follower.pull().is_some() {
+            self.pull_confirmed();
+        }
+    }
+}
+
+impl Node {
+    /// Asks now and then whether there is anything newer.
+    pub(super) fn tick_rules(&mut self) {
+        let now = self.now();
+        if now < self.next_ask {
+            return;
+        }
+        if matches!(self.sync, Sync::Starting { .. }) {
+            self.next_ask = now + START_EVERY;
+            self.pull_confirmed();
+            return;
+        }
+        // The VMs of a failure domain share the work: whoever finds something
+        // newer tells the others by its heartbeat.
+        let live = self.members.live().count() as u32 + 1;
+        let wait = ASK_EVERY * live;
+        self.next_ask = now + wait.mul_f64(rand::rng().random_range(0.5..1.5));
+        let control = &self.settings.control;
+        if !control.is_empty() {
+            let peer = &control[rand::rng().random_range(0..control.len())];
+            self.pull_from(peer.address);
+        }
+    }
+
+    /// Pulls from another VM that has something newer.
+    pub(super) fn pull_rules(&mut self, version: u64, link: SocketAddr) {
+        self.follower.heard(version);
+        if self.follower.pull().is_some() {
+            self.pull_from(link);
+        }
+    }
+
+    fn pull_again(&mut self, confirmed: bool) {
+        if confirmed || matches!(self.sync, Sync::Starting { .. }) {
+            return self.pull_confirmed();
+        }
+        // Further parts come from whoever is asked next, without delay.
+        if self.follower.pull().is_some() {
+            self.next_ask = self.now();
+        }
+    }
+
+    fn pull_from(&mut self, link: SocketAddr) {
+        if std::mem::replace(&mut self.pulling, true) {
+            return;
+        }
+        let payload = Bytes::from(self.follower.request().encode_to_vec());
+        let (links, me) = (self.links.clone(), self.me.clone());
+        actix_rt::spawn(async move {
+            let answer = links.call(link, Channel::Rules, payload, PULL_LIMIT).await;
+            let push = answer.ok().and_then(|bytes| RulesPush::decode(bytes).ok());
+            me.do_send(Pulled {
+                push,
+                confirmed: false,
+            });
+        });
+    }
+
+    fn pull_confirmed(&mut self) {
+        if std::mem::replace(&mut self.pulling, true) {
+            return;
+        }
+        let pull = self.follower.request();
+        let (control, me) = (self.control.clone(), self.me.clone());
+        actix_rt::spawn(async move {
+            let push = control.rules(pull).await.ok();
+            me.do_send(Pulled {
+                push,
+                confirmed: true,
+            });
+        });
+    }
+
+    /// Puts the best that can be had in force when no quorum can be reached.
+    fn fall_back(&mut self) {
+        let Sync::Starting { since } = self.sync else {
+            return;
+        };
+        let newest = self.follower.newest();
+        let known = self.follower.version() > 0 && self.follower.version() >= newest;
+        if known && self.now().since(since) >= GRACE {
+            self.serve();
+        }
+    }
+
+    /// From here on, the follower's rules are in force.
+    fn serve(&mut self) {
+        if self.sync != Sync::Serving {
+            self.sync = Sync::Serving;
+            self.in_force();
+        }
+    }
+
+    /// Passes the follower's rules to the cores and the listeners.
+    fn in_force(&mut self) {
+        let rules = self.follower.rules();
+        let newer = rules.version > self.rules.load().version;
+        if self.sync != Sync::Serving || !newer {
+            return;
+        }
+        let now = self.now();
+        let table = self.table(&rules);
+        self.steer.set_rules(now, &rules, table);
+        self.members.set_version(rules.version);
+        event!(self.log, Event::RulesApplied, "version" => rules.version);
+        self.rules.store(rules);
+    }
+
+    /// The block table of newer rules; the old one if no block changed.
+    fn table(&mut self, rules: &Rules) -> Arc<BlockTable> {
+        if self.rules.load().blocks != rules.blocks {
+            self.table = Arc::new(BlockTable::new(rules.blocks.iter()));
+        }
+        Arc::clone(&self.table)
+    }
+
+    /// Answers another VM that lacks rules.
+    pub(super) fn serve_rules(&self, msg: Incoming) {
+        let Some(reply) = msg.reply else {
+            return;
+        };
+        if let Ok(pull) = RulesPull::decode(msg.payload) {
+            reply.send(self.follower.answer(&pull).encode_to_vec().into());
+        }
+    }
+}
--- a/crates/pimento_entry/src/node/status.rs
+++ b/crates/pimento_entry/src/node/status.rs
@@ -1,13 +1,16 @@
 //! What operators see of this VM.
 
-use super::{GetStatus, Node, NodeStatus, TargetStatus};
+use super::{DomainStatus, GetStatus, Node, NodeStatus, PeerStatus, TargetStatus};
 use actix::prelude::*;
+use pimento_core::Time;
+use pimento_members::{Domain, Peer, PeerState};
 
 impl Handler<GetStatus> for Node {
     type Result = MessageResult<GetStatus>;
 
     fn handle(&mut self, _msg: GetStatus, _ctx: &mut Self::Context) -> Self::Result {
-        let targets = self.leases.held(self.now()).map(|view| TargetStatus {
+        let now = self.now();
+        let targets = self.leases.held(now).map(|view| TargetStatus {
             target: view.target.clone(),
             service: view.service.clone(),
             address: view.address,
@@ -21,9 +24,43 @@
             vm: self.settings.vm.clone(),
             region: self.settings.region.clone(),
             domain: self.settings.domain.clone(),
-            version: self.rules.version,
+            version: self.rules.load().version,
             stopping: self.stopping,
             targets: targets.collect(),
+            peers: self.members.peers().iter().map(peer_status).collect(),
+            domains: self
+                .members
+                .domains()
+                .iter()
+                .map(|d| domain_status(now, d))
+                .collect(),
         })
     }
 }
+
+fn peer_status(peer: &Peer) -> PeerStatus {
+    let state = match peer.state {
+        PeerState::Known => "known",
+        PeerState::Alive => "alive",
+        PeerState::Suspect => "suspect",
+        PeerState::Dead => "dead",
+        PeerState::Left => "left",
+    };
+    PeerStatus {
+        vm: peer.info.vm.clone(),
+        state,
+        version: peer.version,
+    }
+}
+
+fn domain_status(now: Time, domain: &Domain) -> DomainStatus {
+    DomainStatus {
+        domain: domain.id.clone(),
+        region: domain.region.clone(),
+        live: domain.live,
+        total: domain.total,
+        low: domain.low,
+        high: domain.high,
+        age_ms: domain.age(now).as_millis() as u64,
+    }
+}
--- /dev/null
+++ b/crates/pimento_entry/src/notes.rs
@@ -0,0 +1,137 @@
+//! Release notes as operators send and read them.
+
+use crate::{
+    problem::Problem,
+    shared::{Shared, unix_millis},
+};
+use actix_web::{HttpResponse, http::StatusCode, web};
+use pimento_control::{ControlError, Look, LookAt};
+use pimento_core::Verdict;
+use pimento_log::{Event, event};
+use pimento_rules::{Note, NoteError};
+use pimento_state::{Command, Effect, NoteKind, NoteRecord};
+use serde::Serialize;
+
+/// The notes that the history lists.
+const HISTORY: u64 = 200;
+
+/// The answer to an accepted note.
+#[derive(Debug, Serialize)]
+struct Accepted {
+    number: u64,
+    digest: String,
+    /// The version of the rules that the note gives.
+    version: u64,
+    /// Whether the same note had been accepted before.
+    again: bool,
+}
+
+/// Puts a release note in force.
+pub(crate) async fn apply(
+    body: web::Bytes,
+    shared: web::Data<Shared>,
+) -> Result<HttpResponse, Problem> {
+    let text = std::str::from_utf8(&body).map_err(|e| {
+        let detail = format!("the note is not UTF-8: {e}");
+        Problem::not_run(StatusCode::UNPROCESSABLE_ENTITY, "bad-note", detail)
+    })?;
+    let note = Note::parse(text).map_err(|e| malformed(&shared, &e))?;
+    let command = Command::note(unix_millis(), &note);
+    let outcome = shared.control.propose(&command).await.map_err(unanswered)?;
+    let kind = match outcome.effect {
+        Some(Effect::Note(outcome)) => outcome.kind,
+        _ => None,
+    };
+    answer(&shared, kind)
+}
+
+fn malformed(shared: &Shared, error: &NoteError) -> Problem {
+    event!(shared.log, Event::NoteRefused, "reason" => %error);
+    let status = StatusCode::UNPROCESSABLE_ENTITY;
+    Problem::not_run(status, "bad-note", error.to_string()).field(error.field())
+}
+
+fn answer(shared: &Shared, kind: Option<NoteKind>) -> Result<HttpResponse, Problem> {
+    let (status, title, detail) = match kind {
+        Some(NoteKind::Accepted(record)) => return Ok(accepted(&record, false)),
+        Some(NoteKind::Again(record)) => return Ok(accepted(&record, true)),
+        Some(NoteKind::Refused(fault)) => {
+            event!(shared.log, Event::NoteRefused, "reason" => &fault.detail);
+            let status = StatusCode::UNPROCESSABLE_ENTITY;
+            return Err(Problem::not_run(status, "bad-note", fault.detail).field(fault.field));
+        }
+        Some(NoteKind::Conflict(record)) => {
+            let digest = digest(&record);
+            let detail = format!("note {} was accepted with digest {digest}", record.number);
+            (StatusCode::CONFLICT, "conflict", detail)
+        }
+        Some(NoteKind::Gap(expected)) => (
+            StatusCode::CONFLICT,
+            "gap",
+            format!("the next note has number {expected}"),
+        ),
+        Some(NoteKind::Forgotten(oldest)) => {
+            let detail = format!("notes before {oldest} are no longer remembered");
+            (StatusCode::CONFLICT, "forgotten", detail)
+        }
+        None => {
+            let detail = "the control group gave no outcome".to_owned();
+            (StatusCode::INTERNAL_SERVER_ERROR, "control", detail)
+        }
+    };
+    Err(Problem::not_run(status, title, detail).field("number"))
+}
+
+fn digest(record: &NoteRecord) -> String {
+    record
+        .digest()
+        .map(|digest| digest.to_string())
+        .unwrap_or_default()
+}
+
+fn accepted(record: &NoteRecord, again: bool) -> HttpResponse {
+    HttpResponse::Ok().json(Accepted {
+        number: record.number,
+        digest: digest(record),
+        version: record.number,
+        again,
+    })
+}
+
+/// The control group gave no result; a lost answer may mean that it did.
+pub(crate) fn unanswered(error: ControlError) -> Problem {
+    let status = match error.verdict {
+        Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+        Verdict::MayHaveRun | Verdict::Ran => StatusCode::GATEWAY_TIMEOUT,
+    };
+    Problem::new(status, "control", error.to_string()).with(error.verdict)
+}
+
+/// Lists the newest notes.
+pub(crate) async fn history(shared: web::Data<Shared>) -> Result<HttpResponse, Problem> {
+    look(&shared, LookAt::History(HISTORY)).await
+}
+
+/// Shows one note.
+pub(crate) async fn show(
+    number: web::Path<u64>,
+    shared: web::Data<Shared>,
+) -> Result<HttpResponse, Problem> {
+    look(&shared, LookAt::Note(number.into_inner())).await
+}
+
+/// Shows a part of the replicated state.
+pub(crate) async fn look(shared: &Shared, at: LookAt) -> Result<HttpResponse, Problem> {
+    let json = shared
+        .control
+        .look(Look::at(at))
+        .await
+        .map_err(unanswered)?;
+    if json.is_empty() {
+        let detail = "the control group has no such thing";
+        return Err(Problem::new(StatusCode::NOT_FOUND, "not-found", detail));
+    }
+    Ok(HttpResponse::Ok()
+        .content_type("application/json")
+        .body(json))
+}
--- a/crates/pimento_entry/src/operators.rs
+++ b/crates/pimento_entry/src/operators.rs
@@ -1,9 +1,10 @@
 //! The listener for operators.
 
 use crate::{
-    node::{GetStatus, SetRules},
+    node::{Drain, GetStatus},
+    notes,
     problem::Problem,
-    shared::Shared,
+    shared::{Shared, unix_millis},
 };
 use actix_web::{
     HttpResponse,
@@ -13,11 +14,18 @@
     middleware::{Next, from_fn},
     web,
 };
-use std::sync::Arc;
+use pimento_control::{LookAt, MemberChange};
+use pimento_core::{TargetId, VmId};
+use pimento_rules::MAX_NOTE;
+use pimento_state::{
+    Command, Effect, Op,
+    ledger::{Kind, SetCap, Slot},
+};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
 use subtle::ConstantTimeEq;
-
-/// The largest release note, in bytes.
-const MAX_NOTE: usize = 16 << 20;
+use uuid::Uuid;
 
 /// Adds the routes of the listener; all but the health checks and the metrics
 /// need the operators' bearer token.
@@ -25,8 +33,18 @@
     let guarded = web::scope("/v1")
         .wrap(from_fn(check_token))
         .app_data(web::PayloadConfig::new(MAX_NOTE))
-        .route("/notes", web::post().to(apply))
-        .route("/status", web::get().to(status));
+        .route("/notes", web::post().to(notes::apply))
+        .route("/notes", web::get().to(notes::history))
+        .route("/notes/{number}", web::get().to(notes::show))
+        .route("/status", web::get().to(status))
+        .route("/targets/{name}/drain", web::post().to(drain_target))
+        .route("/vms/{name}/drain", web::post().to(drain_vm))
+        .route("/caps/{service}/{resource}", web::put().to(set_cap))
+        .route("/claims/{tenant}/{service}/{key}", web::get().to(claim))
+        .route("/control", web::get().to(control))
+        .route("/control/members", web::post().to(add_member))
+        .route("/control/members/{vm}", web::delete().to(remove_member))
+        .route("/backup", web::get().to(backup));
     config
         .route("/healthz", web::get().to(health))
         .route("/readyz", web::get().to(ready))
@@ -39,11 +57,8 @@
     next: Next<impl MessageBody + 'static>,
 ) -> Result<ServiceResponse<impl MessageBody>, actix_web::Error> {
     let shared = req.app_data::<web::Data<Shared>>();
-    let given = req
-        .headers()
-        .get("authorization")
-        .and_then(|value| value.to_str().ok());
-    let given = given.and_then(|value| value.strip_prefix("Bearer "));
+    let given = req.headers().get("authorization");
+    let given = given.and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "));
     let allowed = match (shared, given) {
         (Some(shared), Some(given)) => given.as_bytes().ct_eq(shared.token.as_bytes()).into(),
         _ => false,
@@ -55,56 +70,187 @@
     Err(Problem::new(StatusCode::UNAUTHORIZED, "no-token", detail).into())
 }
 
-async fn apply(body: web::Bytes, shared: web::Data<Shared>) -> Result<HttpResponse, Problem> {
-    let bad = |detail: String| Problem::new(StatusCode::UNPROCESSABLE_ENTITY, "bad-note", detail);
-    let text = std::str::from_utf8(&body).map_err(|e| bad(e.to_string()))?;
-    let rules = crate::thin::apply(text, &shared.rules.load()).map_err(bad)?;
-    let rules = Arc::new(rules);
-    let number = rules.version;
-    shared.rules.store(Arc::clone(&rules));
-    shared.node.do_send(SetRules { rules });
-    Ok(HttpResponse::Ok().json(serde_json::json!({ "number": number, "version": number })))
+fn bad(field: &'static str, detail: impl Into<String>) -> Problem {
+    Problem::new(StatusCode::BAD_REQUEST, "bad-input", detail).field(field)
+}
+
+fn stopping(error: actix::MailboxError) -> Problem {
+    Problem::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "stopping",
+        error.to_string(),
+    )
 }
 
 async fn status(shared: web::Data<Shared>) -> Result<HttpResponse, Problem> {
-    match shared.node.send(GetStatus).await {
-        Ok(status) => Ok(HttpResponse::Ok().json(status)),
-        Err(e) => {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            Err(Problem::new(status, "stopping", e.to_string()))
+    let node = shared.node.send(GetStatus).await.map_err(stopping)?;
+    Ok(HttpResponse::Ok().json(json!({ "node": node, "control": statuses(&shared).await })))
+}
+
+async fn control(shared: web::Data<Shared>) -> HttpResponse {
+    HttpResponse::Ok().json(json!({ "members": statuses(&shared).await }))
+}
+
+/// What each control VM in reach says of the group.
+async fn statuses(shared: &Shared) -> Vec<Value> {
+    let statuses = shared.control.statuses().await;
+    let parsed = statuses.iter().map(|json| serde_json::from_slice(json));
+    parsed.filter_map(Result::ok).collect()
+}
+
+async fn drain_target(
+    name: web::Path<String>,
+    shared: web::Data<Shared>,
+) -> Result<HttpResponse, Problem> {
+    let target = TargetId::new(name.as_str()).map_err(|e| bad("name", e.to_string()))?;
+    let drain = Drain {
+        target: target.clone(),
+    };
+    if shared.node.send(drain).await.map_err(stopping)? {
+        return Ok(HttpResponse::Ok().json(json!({ "target": target, "state": "draining" })));
+    }
+    let detail = format!("this VM does not hold target {target}; ask its holder");
+    Err(Problem::new(StatusCode::NOT_FOUND, "no-target", detail))
+}
+
+async fn drain_vm(
+    name: web::Path<String>,
+    shared: web::Data<Shared>,
+) -> Result<HttpResponse, Problem> {
+    if *name != *shared.settings.vm {
+        let detail = format!(
+            "this is {}; send the drain to {name} itself",
+            shared.settings.vm
+        );
+        return Err(Problem::new(StatusCode::NOT_FOUND, "other-vm", detail));
+    }
+    shared.drain.notify_one();
+    Ok(HttpResponse::Accepted().json(json!({ "vm": shared.settings.vm, "state": "draining" })))
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Limit {
+    limit: Option<u32>,
+}
+
+async fn set_cap(
+    path: web::Path<(String, String)>,
+    body: web::Bytes,
+    shared: web::Data<Shared>,
+) -> Result<HttpResponse, Problem> {
+    let (service, resource) = path.into_inner();
+    let limit: Limit = serde_json::from_slice(&body).map_err(|e| bad("limit", e.to_string()))?;
+    let set = SetCap {
+        service,
+        resource,
+        limit: limit.limit,
+    };
+    let command = Command::new(unix_millis(), Op::SetCap(set));
+    let outcome = shared
+        .control
+        .propose(&command)
+        .await
+        .map_err(notes::unanswered)?;
+    let kind = match outcome.effect {
+        Some(Effect::Ledger(outcome)) => outcome.kind,
+        _ => None,
+    };
+    match kind {
+        Some(Kind::CapSet(taken)) => {
+            Ok(HttpResponse::Ok().json(json!({ "limit": limit.limit, "taken": taken })))
         }
+        other => Err(bad("resource", format!("the ledger answered {other:?}"))),
     }
 }
 
+async fn claim(
+    path: web::Path<(String, String, String)>,
+    shared: web::Data<Shared>,
+) -> Result<HttpResponse, Problem> {
+    let (tenant, service, key) = path.into_inner();
+    let key = Uuid::parse_str(&key).map_err(|e| bad("key", e.to_string()))?;
+    let key = key.as_bytes().to_vec();
+    notes::look(
+        &shared,
+        LookAt::Claim(Slot {
+            key,
+            tenant,
+            service,
+        }),
+    )
+    .await
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct NewMember {
+    vm: VmId,
+    address: SocketAddr,
+}
+
+async fn add_member(body: web::Bytes, shared: web::Data<Shared>) -> Result<HttpResponse, Problem> {
+    let member: NewMember =
+        serde_json::from_slice(&body).map_err(|e| bad("body", e.to_string()))?;
+    let address = member.address.to_string();
+    change(
+        &shared,
+        MemberChange::Add {
+            vm: member.vm,
+            address,
+        },
+    )
+    .await
+}
+
+async fn remove_member(
+    name: web::Path<String>,
+    shared: web::Data<Shared>,
+) -> Result<HttpResponse, Problem> {
+    let vm = VmId::new(name.as_str()).map_err(|e| bad("vm", e.to_string()))?;
+    change(&shared, MemberChange::Remove { vm }).await
+}
+
+async fn change(shared: &Shared, change: MemberChange) -> Result<HttpResponse, Problem> {
+    let index = shared
+        .control
+        .change(change)
+        .await
+        .map_err(notes::unanswered)?;
+    Ok(HttpResponse::Ok().json(json!({ "index": index })))
+}
+
+async fn backup(shared: web::Data<Shared>) -> Result<HttpResponse, Problem> {
+    let bytes = shared.control.backup().await.map_err(notes::unanswered)?;
+    Ok(HttpResponse::Ok()
+        .content_type("application/octet-stream")
+        .body(bytes))
+}
+
 async fn health() -> &'static str {
     "ok\n"
 }
 
 async fn ready(shared: web::Data<Shared>) -> Result<&'static str, Problem> {
-    let unready = |detail: &str| {
-        Err(Problem::new(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "not-ready",
-            detail,
-        ))
+    let detail = if shared.is_stopping() {
+        "the process is stopping"
+    } else if shared.rules.load().version == 0 {
+        "no version of the rules is in force yet"
+    } else {
+        return Ok("ready\n");
     };
-    if shared.is_stopping() {
-        return unready("the process is stopping");
-    }
-    if shared.rules.load().version == 0 {
-        return unready("no version of the rules is in force yet");
-    }
-    Ok("ready\n")
+    Err(Problem::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "not-ready",
+        detail,
+    ))
 }
 
 async fn metrics(shared: web::Data<Shared>) -> Result<HttpResponse, Problem> {
-    match shared.metrics.render() {
-        Ok(text) => Ok(HttpResponse::Ok()
-            .content_type("text/plain; version=0.0.4")
-            .body(text)),
-        Err(e) => {
-            let status = StatusCode::INTERNAL_SERVER_ERROR;
-            Err(Problem::new(status, "metrics", e.to_string()))
-        }
-    }
+    let text = shared.metrics.render().map_err(|e| {
+        let status = StatusCode::INTERNAL_SERVER_ERROR;
+        Problem::new(status, "metrics", e.to_string())
+    })?;
+    let kind = "text/plain; version=0.0.4";
+    Ok(HttpResponse::Ok().content_type(kind).body(text))
 }
--- a/crates/pimento_entry/src/permit.rs
+++ b/crates/pimento_entry/src/permit.rs
@@ -1,10 +1,5 @@
 //! The right to send one request to one target.
 
-#![expect(
-    dead_code,
-    reason = "the single-VM path uses a part of what the listeners say"
-)]
-
 use crate::Node;
 use actix::prelude::*;
 use pimento_admit::{Ending, Reason};
--- a/crates/pimento_entry/src/shared.rs
+++ b/crates/pimento_entry/src/shared.rs
@@ -3,14 +3,20 @@
 use crate::{Node, metrics::Metrics};
 use actix::Addr;
 use arc_swap::ArcSwap;
+use pimento_control::{Control, ControlClient};
 use pimento_core::Clock;
 use pimento_log::Logger;
 use pimento_rules::Rules;
 use pimento_settings::Settings;
+use pimento_steer::RetryBudget;
 use std::{
-    sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
     time::{SystemTime, UNIX_EPOCH},
 };
+use tokio::sync::Notify;
 
 /// The state that worker threads read, and the way to the node.
 #[derive(Debug)]
@@ -23,7 +29,11 @@
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
     pub(crate) node: Addr<Node>,
-    pub(crate) rules: ArcSwap<Rules>,
+    pub(crate) control: ControlClient,
+    /// The replica of this VM, if it has the control role.
+    pub(crate) replica: Option<Addr<Control>>,
+    pub(crate) rules: Arc<ArcSwap<Rules>>,
+    pub(crate) budget: Mutex<RetryBudget>,
     pub(crate) metrics: Metrics,
     /// The bearer token of operators.
     pub(crate) token: String,
@@ -33,6 +43,8 @@
     pub(crate) instance: u64,
     pub(crate) stopping: AtomicBool,
     pub(crate) open: AtomicUsize,
+    /// Told when an operator drains this VM.
+    pub(crate) drain: Notify,
     ids: AtomicU64,
 }
 
@@ -43,6 +55,9 @@
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
     pub(crate) node: Addr<Node>,
+    pub(crate) control: ControlClient,
+    pub(crate) replica: Option<Addr<Control>>,
+    pub(crate) rules: Arc<ArcSwap<Rules>>,
     pub(crate) metrics: Metrics,
     pub(crate) token: String,
     pub(crate) proof: String,
@@ -56,13 +71,17 @@
             clock: parts.clock,
             log: parts.log,
             node: parts.node,
-            rules: ArcSwap::default(),
+            control: parts.control,
+            replica: parts.replica,
+            rules: parts.rules,
+            budget: Mutex::default(),
             metrics: parts.metrics,
             token: parts.token,
             proof: parts.proof,
             instance: parts.instance,
             stopping: AtomicBool::new(false),
             open: AtomicUsize::new(0),
+            drain: Notify::new(),
             ids: AtomicU64::new(1),
         }
     }
--- a/crates/pimento_entry/src/stop.rs
+++ b/crates/pimento_entry/src/stop.rs
@@ -2,16 +2,15 @@
 
 use crate::{node::BeginStop, shared::Shared};
 use actix_web::dev::ServerHandle;
-use pimento_log::{Event, event};
 use std::{sync::atomic::Ordering, time::Duration};
 
 /// The time between two looks at the requests in flight.
 const POLL: Duration = Duration::from_millis(20);
 
-/// Serves until cached answers have expired and requests in flight have ended.
-pub(crate) async fn run(shared: &Shared, servers: &[ServerHandle]) {
+/// Serves until cached look-ups have expired and requests in flight have
+/// ended; returns the number of requests that were cut off.
+pub(crate) async fn run(shared: &Shared, servers: &[ServerHandle]) -> usize {
     shared.stopping.store(true, Ordering::Release);
-    event!(shared.log, Event::StopBegun);
     shared.node.do_send(BeginStop);
     let rules = shared.rules.load();
     let ttl = rules.services.iter().map(|s| s.ttl).max().unwrap_or(0);
@@ -25,5 +24,5 @@
     for server in servers {
         server.stop(true).await;
     }
-    event!(shared.log, Event::StopEnded, "cut" => cut);
+    cut
 }
--- a/crates/pimento_entry/tests/support/mod.rs
+++ b/crates/pimento_entry/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! One entry VM on loopback with stand-in targets.
 
 use awc::Client;
+use pimento_control::{Control, ControlConfig};
 use pimento_core::{DomainId, RegionId, ServiceId, TargetId, VmId};
 use pimento_entry::{Entry, Sockets};
 use pimento_link::{Key, Links};
@@ -51,7 +52,15 @@
         let listener = sockets.links.try_clone().expect("a second handle");
         let links = Links::start(settings.vm.clone(), Key::new("key"), listener, log.clone());
         let links = links.expect("the listener works");
-        let entry = Entry::start(&settings, sockets, links, &log).expect("the entry role starts");
+        let config = ControlConfig {
+            vm: settings.vm.clone(),
+            peers: settings.control.clone(),
+            data: settings.data.clone().expect("a data folder"),
+            seed: 1,
+        };
+        let replica = Control::start(config, links.clone(), log.clone()).expect("a fresh folder");
+        let entry = Entry::start(&settings, sockets, links, Some(replica), &log);
+        let entry = entry.expect("the entry role starts");
         let vm = Self {
             _entry: entry,
             settings,
@@ -63,24 +72,26 @@
 
     /// Puts a release note in force.
     async fn apply(&self, note: &str) {
-        let url = format!("http://{}/v1/notes", self.settings.listen.operators);
-        let mut status = None;
-        for _ in 0..POLLS {
-            let request = Client::new().post(&url).bearer_auth(TOKEN);
-            status = request
+        let operators = self.settings.listen.operators;
+        let post = || {
+            let url = format!("http://{operators}/v1/notes");
+            Client::new()
+                .post(url)
+                .bearer_auth(TOKEN)
                 .send_body(note.to_owned())
+        };
+        until("the note is accepted", || async {
+            post()
                 .await
-                .ok()
-                .map(|r| r.status());
-            if status.is_some_and(|status| status.is_success()) {
-                break;
-            }
-            tokio::time::sleep(POLL).await;
-        }
-        assert!(
-            status.is_some_and(|s| s.is_success()),
-            "the note got {status:?}"
-        );
+                .is_ok_and(|answer| answer.status().is_success())
+        })
+        .await;
+        let ready = format!("http://{operators}/readyz");
+        until("the rules are in force", || async {
+            let answer = Client::new().get(&ready).send().await;
+            answer.is_ok_and(|answer| answer.status().is_success())
+        })
+        .await;
     }
 
     /// Where callers go.
@@ -102,21 +113,29 @@
         standin
     }
 
-    /// Waits until a look-up names a VM and a request is answered.
+    /// Waits until a request is answered by a target.
     async fn ready(&self, service: &str) {
         let url = format!("http://{}/s/{service}/ready", self.callers());
-        for _ in 0..POLLS {
+        until("a target is taken", || async {
             let request = Client::new()
                 .get(&url)
                 .insert_header(("idempotency-key", key()));
             let answer = request.send().await;
-            if answer.is_ok_and(|answer| answer.headers().get("pimento-verdict").is_none()) {
-                return;
-            }
-            tokio::time::sleep(POLL).await;
+            answer.is_ok_and(|answer| answer.headers().get("pimento-verdict").is_none())
+        })
+        .await;
+    }
+}
+
+/// Looks again and again until something has happened.
+async fn until<F: Future<Output = bool>>(what: &str, mut look: impl FnMut() -> F) {
+    for _ in 0..POLLS {
+        if look().await {
+            return;
         }
-        panic!("no target of {service} was taken");
+        tokio::time::sleep(POLL).await;
     }
+    panic!("in vain: {what}");
 }
 
 /// A new key for a request.
--- a/crates/pimento_log/src/event.rs
+++ b/crates/pimento_log/src/event.rs
@@ -56,6 +56,8 @@
     VmDead = 301, Warning, "VM declared dead";
     /// A VM of the failure domain is alive again.
     VmAlive = 302, Info, "VM alive";
+    /// A VM of the failure domain has stopped as planned.
+    VmLeft = 303, Info, "VM left";
     /// This VM holds the lease of a target.
     LeaseTaken = 401, Info, "target lease taken";
     /// This VM no longer holds the lease of a target.
--- a/crates/pimento_steer/tests/common/mod.rs
+++ b/crates/pimento_steer/tests/common/mod.rs
@@ -132,7 +132,7 @@
             })
             .collect(),
         services: vec![rule(true)],
-        blocks: Vec::new(),
+        blocks: Vec::new().into(),
     }
 }
 
--- a/crates/pimentod/src/dev.rs
+++ b/crates/pimentod/src/dev.rs
@@ -1,6 +1,6 @@
 //! The development mode: one process with all roles on loopback.
 
-use crate::run;
+use crate::run::Process;
 use pimento_core::{DomainId, RegionId, ServiceId, TargetId, VmId};
 use pimento_entry::Sockets;
 use pimento_settings::{Limits, Listen, Peer, Role, Secrets, Settings, Targets};
@@ -23,11 +23,11 @@
     let sockets = Sockets::bind(&settings.listen)?;
     adopt(&mut settings, &sockets)?;
     actix_rt::System::new().block_on(async {
-        let entry = run::start(&settings, sockets)?;
+        let process = Process::start(&settings, sockets)?;
         let standins = standins(&settings)?;
         greet(&settings);
-        run::wait().await?;
-        entry.stop().await;
+        process.wait().await?;
+        process.stop().await;
         drop(standins);
         Ok(())
     })
--- a/crates/pimentod/src/run.rs
+++ b/crates/pimentod/src/run.rs
@@ -1,20 +1,30 @@
 //! Running the roles of the settings.
 
 use anyhow::Context;
+use pimento_control::{Control, ControlConfig, Shutdown};
 use pimento_entry::{Entry, Sockets};
 use pimento_link::{Key, Links};
-use pimento_settings::Settings;
+use pimento_log::{Event, Logger, event};
+use pimento_settings::{Role, Settings};
 use std::{fs, path::Path};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// The parts of a running process.
+#[derive(Debug)]
+pub struct Process {
+    entry: Entry,
+    replica: Option<actix::Addr<Control>>,
+    log: Logger,
+}
+
 /// Reads the settings and serves until a planned stop.
 pub fn run(path: &Path) -> anyhow::Result<()> {
     let settings = Settings::load(path)?;
     let sockets = Sockets::bind(&settings.listen)?;
     actix_rt::System::new().block_on(async {
-        let entry = start(&settings, sockets)?;
-        wait().await?;
-        entry.stop().await;
+        let process = Process::start(&settings, sockets)?;
+        process.wait().await?;
+        process.stop().await;
         Ok(())
     })
 }
@@ -30,23 +40,66 @@
     Ok(())
 }
 
-/// Starts the parts of a process.
-pub fn start(settings: &Settings, sockets: Sockets) -> anyhow::Result<Entry> {
-    let log = pimento_log::root(&settings.vm);
-    let key = &settings.secrets.links;
-    let key = fs::read(key).with_context(|| format!("secrets.links: {}", key.display()))?;
-    let listener = sockets.links.try_clone()?;
-    let links = Links::start(settings.vm.clone(), Key::new(key), listener, log.clone())?;
-    Entry::start(settings, sockets, links, &log)
-}
+impl Process {
+    /// Starts the parts that the roles call for.
+    pub fn start(settings: &Settings, sockets: Sockets) -> anyhow::Result<Self> {
+        let log = pimento_log::root(&settings.vm);
+        let links = start_links(settings, &sockets, &log)?;
+        let replica = match &settings.data {
+            Some(data) if settings.has(Role::Control) => {
+                let config = ControlConfig {
+                    vm: settings.vm.clone(),
+                    peers: settings.control.clone(),
+                    data: data.clone(),
+                    seed: rand::random(),
+                };
+                Some(Control::start(config, links.clone(), log.clone())?)
+            }
+            _ => None,
+        };
+        let entry = Entry::start(settings, sockets, links, replica.clone(), &log)?;
+        event!(log, Event::VmStarted, "roles" => ?settings.roles);
+        Ok(Self {
+            entry,
+            replica,
+            log,
+        })
+    }
+
+    /// Waits for the signal, or an operator's command, of a planned stop.
+    pub async fn wait(&self) -> anyhow::Result<()> {
+        let mut term = signal(SignalKind::terminate())?;
+        let mut int = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+            () = self.entry.drained() => {}
+        }
+        Ok(())
+    }
 
-/// Waits for the signal of a planned stop.
-pub async fn wait() -> anyhow::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+    /// Stops gracefully: no request in flight is cut off, and the data folder
+    /// is free afterwards.
+    pub async fn stop(self) {
+        event!(self.log, Event::StopBegun);
+        let cut = self.entry.stop().await;
+        if let Some(replica) = self.replica {
+            // A replica that has stopped by itself has nothing left to free.
+            replica.send(Shutdown).await.unwrap_or_default();
+        }
+        event!(self.log, Event::StopEnded, "cut" => cut);
     }
-    Ok(())
+}
+
+fn start_links(settings: &Settings, sockets: &Sockets, log: &Logger) -> anyhow::Result<Links> {
+    let path = &settings.secrets.links;
+    let key = fs::read(path).with_context(|| format!("secrets.links: {}", path.display()))?;
+    let listener = sockets.links.try_clone()?;
+    let vm = settings.vm.clone();
+    Ok(Links::start(
+        vm,
+        Key::new(key.trim_ascii()),
+        listener,
+        log.clone(),
+    )?)
 }
