Test the replicated log under seeded schedules

The pure core had no test of its own. A group of three to five replicas now runs in virtual time under loss, duplicates, delay, one-way cuts, crashes that lose unsynced writes, replaced disks and changes of the members, and an oracle checks each effect.

--- a/crates/pimento_consensus/src/effect.rs
+++ b/crates/pimento_consensus/src/effect.rs
@@ -136,4 +136,6 @@
     pub last: u64,
     /// The members by the newest entry in the log.
     pub members: Members,
+    /// Whether those members are known to be committed.
+    pub settled: bool,
 }
--- a/crates/pimento_consensus/src/membership.rs
+++ b/crates/pimento_consensus/src/membership.rs
@@ -18,11 +18,16 @@
         (!formed).then_some(Refusal::Forming)
     }
 
+    /// The entry that set the newest members.
+    pub(crate) fn changed_at(&self) -> u64 {
+        self.log.members().map_or(0, |(at, _)| at)
+    }
+
     /// Whether the last change and an entry of this term are committed; only
     /// then may the members change again.
     fn settled(&self) -> bool {
-        let changed = self.log.members().map_or(0, |(at, _)| at);
-        self.role == Role::Leader && changed <= self.commit && self.start <= self.commit
+        let committed = self.changed_at().max(self.start) <= self.commit;
+        self.role == Role::Leader && committed
     }
 
     pub(crate) fn begin_change(&mut self, now: Time, id: u64, change: Change) {
--- a/crates/pimento_consensus/src/raft.rs
+++ b/crates/pimento_consensus/src/raft.rs
@@ -227,6 +227,7 @@
             commit: self.commit,
             last: self.log.last(),
             members: self.members(),
+            settled: self.changed_at() <= self.commit,
         }
     }
 
--- /dev/null
+++ b/crates/pimento_consensus/tests/schedules.rs
@@ -0,0 +1,29 @@
+//! Seeded schedules of faults; the invariants are in `sim/oracle.rs`.
+
+mod sim;
+
+use sim::Sim;
+
+/// The schedules of the fixed set; the bench runs 10,000 and more.
+const FIXED: u64 = 1_000;
+
+#[test]
+fn fixed_schedules() {
+    for seed in 0..FIXED {
+        // Printed only if the schedule fails; `Sim::schedule(seed)` replays it.
+        print!("\rseed {seed}");
+        let sim = Sim::schedule(seed);
+        assert!(sim.oracle.elections > 0);
+    }
+}
+
+#[test]
+fn random_schedules() {
+    bolero::check!()
+        .with_iterations(50)
+        .with_type::<u64>()
+        .cloned()
+        .for_each(|seed| {
+            Sim::schedule(seed);
+        });
+}
--- /dev/null
+++ b/crates/pimento_consensus/tests/sim/faults.rs
@@ -0,0 +1,238 @@
+//! The faults of a schedule.
+
+use super::{FOUNDERS, Sim, name};
+use pimento_consensus::{Change, Raft};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::time::Duration;
+
+/// The chances of each fault, for each message or each step and replica.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// A message is lost.
+    pub loss: f64,
+    /// A message arrives twice.
+    pub duplicate: f64,
+    /// The longest delay of a message, in milliseconds.
+    pub delay: u64,
+    /// A disk makes no progress in a step.
+    pub stall: f64,
+    /// A replica crashes, or a crashed one starts, in a step.
+    pub crash: f64,
+    /// A connection between two replicas breaks or heals, one way.
+    pub cut: f64,
+    /// A disk is lost and replaced by an empty one.
+    pub wipe: f64,
+    /// The members are changed.
+    pub change: f64,
+    /// A command is proposed.
+    pub propose: f64,
+    /// A read is asked for.
+    pub read: f64,
+    /// The entries after which a snapshot is taken.
+    pub compact: u64,
+}
+
+impl Plan {
+    /// No faults and no work.
+    pub fn calm() -> Self {
+        Self {
+            loss: 0.0,
+            duplicate: 0.0,
+            delay: 5,
+            stall: 0.0,
+            crash: 0.0,
+            cut: 0.0,
+            wipe: 0.0,
+            change: 0.0,
+            propose: 0.0,
+            read: 0.0,
+            compact: 1_000,
+        }
+    }
+
+    /// Faults of each kind as the seed has it, none to many.
+    pub fn random(seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
+        let mut up_to = |most: f64| {
+            let some = rng.random_bool(0.7);
+            if some {
+                rng.random_range(0.0..most)
+            } else {
+                0.0
+            }
+        };
+        Self {
+            loss: up_to(0.2),
+            duplicate: up_to(0.2),
+            stall: up_to(0.9),
+            crash: up_to(0.01),
+            cut: up_to(0.05),
+            wipe: up_to(0.01),
+            change: up_to(0.05),
+            propose: 0.1 + up_to(0.8),
+            read: up_to(0.3),
+            delay: rng.random_range(2..80),
+            compact: rng.random_range(5..60),
+        }
+    }
+}
+
+impl Sim {
+    /// Runs a whole schedule of faults, then heals the group and checks that
+    /// it works again with all that was acknowledged.
+    pub fn schedule(seed: u64) -> Self {
+        let size = 3 + (seed % 3) as usize;
+        let mut sim = Self::new(size, Plan::random(seed), seed);
+        sim.pass(Duration::from_secs(4));
+        sim.heal();
+        sim.recovers();
+        sim
+    }
+
+    /// Checks that a healed group commits a new command and serves a read.
+    pub fn recovers(&mut self) {
+        const LIMIT: Duration = Duration::from_secs(5);
+        let formed = self.until(LIMIT, |sim| sim.voters() > 0 && sim.formed());
+        assert!(formed, "no group within {LIMIT:?} of the last fault");
+        let last = self.acked_index();
+        let end = self.now + LIMIT;
+        while self.acked_index() <= last {
+            assert!(self.now < end, "no progress after the last fault");
+            if let Some(leader) = self.leader() {
+                self.propose(leader);
+                self.read(leader);
+            }
+            self.pass(Duration::from_millis(50));
+        }
+        // A read at a leader that is about to be replaced is rejected.
+        let served = self.oracle.served.len();
+        while self.oracle.served.len() <= served {
+            assert!(self.now < end, "no read after the last fault");
+            if let Some(leader) = self.leader() {
+                self.read(leader);
+            }
+            self.pass(Duration::from_millis(50));
+        }
+    }
+
+    /// Whether the newest leader takes commands.
+    pub fn formed(&self) -> bool {
+        self.leading().is_some_and(|r| r.members().formed())
+    }
+
+    /// The last acknowledged entry.
+    pub fn acked_index(&self) -> u64 {
+        self.oracle.acked.values().max().copied().unwrap_or(0)
+    }
+
+    /// Causes faults and work by the plan.
+    pub(super) fn inject(&mut self) {
+        let plan = self.plan.clone();
+        for i in 0..self.nodes.len() {
+            if self.chance(plan.crash) {
+                self.toggle(i);
+            }
+            if self.chance(plan.propose) {
+                self.propose(i);
+            }
+            if self.chance(plan.read) {
+                self.read(i);
+            }
+        }
+        if self.chance(plan.cut) {
+            let (from, to) = (self.pick(), self.pick());
+            self.open[from][to] = !self.open[from][to];
+        }
+        if self.chance(plan.wipe) {
+            self.lose_disk();
+        }
+        if self.chance(plan.change) {
+            self.change_members();
+        }
+        if self.wiped.is_some() && self.chance(0.1) {
+            self.repair();
+        }
+    }
+
+    fn toggle(&mut self, i: usize) {
+        if self.nodes[i].raft.is_some() {
+            self.crash(i);
+        } else {
+            self.start(i);
+        }
+    }
+
+    /// Loses a disk, if the group works and no other disk is lost.
+    fn lose_disk(&mut self) {
+        let settled = |raft: &Raft| raft.status().settled;
+        let settled = self.leading().is_some_and(settled);
+        let whole = self.wiped.is_none() && self.voters() >= FOUNDERS && settled;
+        if whole && !self.oracle.acked.is_empty() {
+            let i = self.pick();
+            self.wipe(i);
+        }
+    }
+
+    /// Removes the replica that lost its disk and adds it again.
+    pub fn repair(&mut self) {
+        let (Some(i), Some(leader)) = (self.wiped, self.leader()) else {
+            return;
+        };
+        let Some(raft) = &self.nodes[leader].raft else {
+            return;
+        };
+        let vm = name(i);
+        let members = raft.members();
+        let change = match members.get(&vm) {
+            Some(m) if m.instance != 0 && m.instance != self.nodes[i].instance => {
+                Change::Remove { vm }
+            }
+            Some(_) => return,
+            None => Change::Add {
+                vm,
+                address: String::new(),
+            },
+        };
+        // A refusal only means that it is tried again.
+        self.change(leader, change).unwrap_or_default();
+    }
+
+    /// Notes that the replaced disk votes, so that another may be lost.
+    pub(super) fn note_repair(&mut self) {
+        let (Some(i), Some(leader)) = (self.wiped, self.leader()) else {
+            return;
+        };
+        let instance = self.nodes[i].instance;
+        let Some(raft) = &self.nodes[leader].raft else {
+            return;
+        };
+        if raft.status().settled && raft.members().votes(&name(i), instance) {
+            self.wiped = None;
+        }
+    }
+
+    /// Adds a spare replica or removes one, but for a majority of founders.
+    fn change_members(&mut self) {
+        let (Some(leader), None) = (self.leader(), self.wiped) else {
+            return;
+        };
+        let Some(raft) = &self.nodes[leader].raft else {
+            return;
+        };
+        let members = raft.members();
+        let i = self.pick();
+        let vm = name(i);
+        let change = if members.get(&vm).is_none() {
+            Change::Add {
+                vm,
+                address: String::new(),
+            }
+        } else if members.voters().count() > FOUNDERS {
+            Change::Remove { vm }
+        } else {
+            return;
+        };
+        // A refusal only means that nothing changes this time.
+        self.change(leader, change).unwrap_or_default();
+    }
+}
--- /dev/null
+++ b/crates/pimento_consensus/tests/sim/node.rs
@@ -0,0 +1,123 @@
+//! A replica with its disk and its replicated state.
+
+use super::ELECTION;
+use bytes::Bytes;
+use pimento_consensus::{Config, Effect, Entry, Member, Raft, Saved, Write};
+use pimento_core::{Time, VmId};
+use std::{collections::VecDeque, time::Duration};
+
+/// A replica with its disk and its replicated state.
+#[derive(Debug)]
+pub struct Node {
+    pub vm: VmId,
+    pub instance: u64,
+    pub raft: Option<Raft>,
+    peers: Vec<Member>,
+    /// What is durable.
+    pub saved: Saved,
+    /// Writes that are not synced.
+    pub pending: VecDeque<Write>,
+    /// The state: the last applied entry and a digest of all of them.
+    pub applied: u64,
+    pub digest: u64,
+}
+
+impl Node {
+    pub fn new(vm: VmId, instance: u64, peers: Vec<Member>) -> Self {
+        Self {
+            vm,
+            instance,
+            raft: None,
+            peers,
+            saved: Saved::default(),
+            pending: VecDeque::new(),
+            applied: 0,
+            digest: 0,
+        }
+    }
+
+    pub fn start(&mut self, now: Time, seed: u64) -> Vec<Effect> {
+        let mut config = Config::new(self.vm.clone(), self.instance, self.peers.clone());
+        config.election = ELECTION;
+        config.heartbeat = Duration::from_millis(20);
+        config.batch = 256;
+        config.window = 4;
+        config.backlog = 2_000;
+        config.trail = 10;
+        (self.applied, self.digest) = (0, 0);
+        let (raft, effects) = Raft::new(config, self.saved.clone(), now, seed);
+        self.raft = Some(raft);
+        effects
+    }
+
+    /// Stops; the first unsynced writes may have reached the disk.
+    pub fn crash(&mut self, kept: usize) {
+        for _ in 0..kept {
+            self.save_next();
+        }
+        self.pending.clear();
+        self.raft = None;
+    }
+
+    pub fn wipe(&mut self, instance: u64) {
+        self.saved = Saved::default();
+        self.instance = instance;
+    }
+
+    /// Syncs some writes; the number of the last one.
+    pub fn sync(&mut self, count: usize) -> u64 {
+        (0..count)
+            .filter_map(|_| self.save_next())
+            .max()
+            .unwrap_or(0)
+    }
+
+    fn save_next(&mut self) -> Option<u64> {
+        let write = self.pending.pop_front()?;
+        self.saved.hard = write.hard;
+        if let Some(snapshot) = write.snapshot {
+            self.saved.snapshot = Some(snapshot);
+            self.saved.entries.clear();
+        }
+        let base = self.saved.snapshot.as_ref().map_or(0, |s| s.index);
+        for entry in write.entries {
+            let keep = entry.index - base - 1;
+            assert!(keep <= self.saved.entries.len() as u64, "a gap on disk");
+            self.saved.entries.truncate(keep as usize);
+            self.saved.entries.push(entry);
+        }
+        Some(write.seq)
+    }
+
+    pub fn apply(&mut self, entry: &Entry) {
+        assert_eq!(entry.index, self.applied + 1, "applied out of order");
+        self.applied = entry.index;
+        self.digest = digest(self.digest, entry);
+    }
+
+    pub fn restore(&mut self, index: u64, data: &Bytes) {
+        assert!(index >= self.applied, "restored an older state");
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&data[..8]);
+        self.applied = index;
+        self.digest = u64::from_le_bytes(bytes);
+    }
+
+    /// The applied index and the encoded state, in more than one part.
+    pub fn state(&self) -> (u64, Bytes) {
+        let mut data = self.digest.to_le_bytes().to_vec();
+        data.resize(600, 0);
+        (self.applied, data.into())
+    }
+}
+
+/// Extends a digest of the log by an entry.
+pub fn digest(before: u64, entry: &Entry) -> u64 {
+    const PRIME: u64 = 0x0100_0000_01b3;
+    let mix = |hash: u64, value: u64| (hash ^ value).wrapping_mul(PRIME).rotate_left(23);
+    let head = mix(mix(before, entry.index), entry.term);
+    entry
+        .payload
+        .iter()
+        .fold(head, |hash, b| mix(hash, u64::from(*b)))
+}
