--- a/crates/pimento_consensus/src/leader.rs
+++ b/crates/pimento_consensus/src/leader.rs
@@ -172,16 +172,15 @@
     /// Shows all replicas that this leader lives, and repeats what may be lost.
     pub(crate) fn send_heartbeats(&mut self) {
         for at in 0..self.peers.len() {
-            if matches!(self.peers[at].mode, Mode::Snapshot { .. }) {
+            let lags = self.peers[at].next <= self.log.base();
+            if lags || matches!(self.peers[at].mode, Mode::Snapshot { .. }) {
                 self.send_part(at);
                 continue;
             }
             if self.peers[at].mode == Mode::Probe {
                 self.peers[at].flight.clear();
             }
-            if self.peers[at].next > self.log.base() {
-                self.send_append(at, Vec::new());
-            }
+            self.send_append(at, Vec::new());
         }
     }
 
--- a/crates/pimento_storage/src/frame.rs
+++ b/crates/pimento_storage/src/frame.rs
@@ -12,7 +12,7 @@
 /// The bytes before a payload.
 const HEAD: usize = 12;
 /// The byte after a payload.
-const CLOSE: u8 = 0xA5;
+pub(crate) const CLOSE: u8 = 0xA5;
 
 /// What was read from a file.
 #[derive(Debug, Eq, PartialEq)]
@@ -20,6 +20,16 @@
     pub records: Vec<Bytes>,
     /// The length of the whole records, in bytes.
     pub len: usize,
+    /// Whether the last one lacks its closing byte, which comes next.
+    pub unclosed: bool,
+}
+
+/// What stands at an offset.
+enum Found {
+    Whole(Bytes),
+    /// A whole payload, and then zeros in place of the closing byte.
+    Unclosed(Bytes),
+    Torn,
 }
 
 /// A whole record was damaged at an offset in bytes.
@@ -47,28 +57,34 @@
         let fault = "not a log of this format";
         return Err(Damage { offset: 0, fault });
     }
-    let mut records = Vec::new();
-    let mut at = MAGIC.len();
-    while at < data.len() {
-        match record(data, at)? {
-            Some(payload) => {
-                at += HEAD + payload.len() + 1;
-                records.push(payload);
+    let mut parsed = Parsed {
+        records: Vec::new(),
+        len: MAGIC.len(),
+        unclosed: false,
+    };
+    while parsed.len < data.len() && !parsed.unclosed {
+        let payload = match record(data, parsed.len)? {
+            Found::Whole(payload) => payload,
+            Found::Unclosed(payload) => {
+                parsed.unclosed = true;
+                payload
             }
-            None => break,
-        }
+            Found::Torn => break,
+        };
+        parsed.len += HEAD + payload.len() + usize::from(!parsed.unclosed);
+        parsed.records.push(payload);
     }
-    Ok(Parsed { records, len: at })
+    Ok(parsed)
 }
 
-/// Reads the record at an offset, or `None` if it is torn.
-fn record(data: &Bytes, at: usize) -> Result<Option<Bytes>, Damage> {
+/// Reads the record at an offset.
+fn record(data: &Bytes, at: usize) -> Result<Found, Damage> {
     let damage = |fault| Damage { offset: at, fault };
     let rest = &data[at..];
     // No whole record ends in zeros, so all that follows was never synced.
     let torn = rest.iter().all(|b| *b == 0) || rest.len() < HEAD;
     if torn {
-        return Ok(None);
+        return Ok(Found::Torn);
     }
     let len = word(rest, 0);
     if crc32fast::hash(&len.to_le_bytes()) != word(rest, 4) {
@@ -77,23 +93,27 @@
     }
     let end = HEAD + len as usize;
     if rest.len() <= end {
-        return Ok(None);
+        return Ok(Found::Torn);
     }
     if crc32fast::hash(&rest[HEAD..end]) != word(rest, 8) {
         let fault = damage("the checksum of the record differs");
         return torn_or(&rest[end - 1..], fault);
     }
-    if rest[end] != CLOSE {
-        return Err(damage("the closing byte of the record differs"));
+    let payload = data.slice(at + HEAD..at + end);
+    if rest[end] == CLOSE {
+        Ok(Found::Whole(payload))
+    } else if rest[end..].iter().all(|b| *b == 0) {
+        Ok(Found::Unclosed(payload))
+    } else {
+        Err(damage("the closing byte of the record differs"))
     }
-    Ok(Some(data.slice(at + HEAD..at + end)))
 }
 
 /// A damaged record is torn if the file ends in zeros from inside it on, more
 /// than one changed byte can make, since a whole record ends in [`CLOSE`].
-fn torn_or(tail: &[u8], damage: Damage) -> Result<Option<Bytes>, Damage> {
+fn torn_or(tail: &[u8], damage: Damage) -> Result<Found, Damage> {
     let torn = tail.iter().all(|b| *b == 0);
-    if torn { Ok(None) } else { Err(damage) }
+    if torn { Ok(Found::Torn) } else { Err(damage) }
 }
 
 /// Reads four bytes of a head.
--- a/crates/pimento_storage/src/store.rs
+++ b/crates/pimento_storage/src/store.rs
@@ -97,6 +97,10 @@
             let done = store.disk.truncate(LOG, parsed.len as u64);
             store.check("cut off the torn end", LOG, done)?;
         }
+        if parsed.unclosed {
+            let done = store.disk.append(LOG, &[frame::CLOSE]);
+            store.check("close the last record of", LOG, done)?;
+        }
         // What was read may never have been synced before the process died.
         store.sync()?;
         let done = store.disk.sync_folder();
--- /dev/null
+++ b/crates/pimento_storage/tests/folder.rs
@@ -0,0 +1,48 @@
+//! The real file system.
+
+use bytes::Bytes;
+use pimento_storage::{Folder, Store, StoreError};
+
+fn records(range: std::ops::Range<u8>) -> Vec<Bytes> {
+    range
+        .map(|i| Bytes::from(vec![i; usize::from(i)]))
+        .collect()
+}
+
+#[test]
+fn second_process() {
+    let folder = tempfile::tempdir().unwrap();
+    let first = Folder::open(folder.path()).unwrap();
+    let second = Folder::open(folder.path());
+    assert!(matches!(second, Err(StoreError::Locked { .. })));
+    drop(first);
+    Folder::open(folder.path()).unwrap();
+}
+
+#[test]
+fn reopened_folder() {
+    let folder = tempfile::tempdir().unwrap();
+    let data = folder.path().join("new");
+    for round in 0..3 {
+        let (mut store, opened) = Store::open(Folder::open(&data).unwrap()).unwrap();
+        assert_eq!(opened.records, records(0..round * 10));
+        store.append(&records(round * 10..round * 10 + 7)).unwrap();
+        store.replace(&records(0..round * 10 + 5)).unwrap();
+        let rest = records(round * 10 + 5..round * 10 + 10);
+        store.append(&rest).unwrap();
+    }
+}
+
+#[test]
+fn torn_file() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut store, _) = Store::open(Folder::open(folder.path()).unwrap()).unwrap();
+    store.append(&records(0..9)).unwrap();
+    drop(store);
+    let log = folder.path().join("log");
+    let data = std::fs::read(&log).unwrap();
+    std::fs::write(&log, &data[..data.len() - 1]).unwrap();
+    let (_, opened) = Store::open(Folder::open(folder.path()).unwrap()).unwrap();
+    assert_eq!(opened.records, records(0..8));
+    assert!(opened.cut > 0);
+}
