--- a/crates/pimento_consensus/tests/sim/faults.rs
+++ b/crates/pimento_consensus/tests/sim/faults.rs
@@ -32,6 +32,9 @@
     pub read: f64,
     /// The entries after which a snapshot is taken.
     pub compact: u64,
+    /// Whether replicas have the settings of production rather than short
+    /// timeouts and small limits.
+    pub production: bool,
 }
 
 impl Plan {
@@ -50,6 +53,17 @@
             propose: 0.0,
             read: 0.0,
             compact: 1_000,
+            production: false,
+        }
+    }
+
+    /// No faults and no work at the timeouts and limits of production, with
+    /// regions up to some milliseconds apart.
+    pub fn production(delay: u64) -> Self {
+        Self {
+            delay,
+            production: true,
+            ..Self::calm()
         }
     }
 
@@ -77,6 +91,7 @@
             read: up_to(0.3),
             delay: rng.random_range(2..80),
             compact: rng.random_range(5..60),
+            production: false,
         }
     }
 }
--- a/crates/pimento_consensus/tests/sim/mod.rs
+++ b/crates/pimento_consensus/tests/sim/mod.rs
@@ -81,7 +81,7 @@
     /// Starts a replica from what is durable.
     pub fn start(&mut self, i: usize) {
         let seed = self.rng.random();
-        let effects = self.nodes[i].start(self.now, seed);
+        let effects = self.nodes[i].start(self.now, seed, self.plan.production);
         self.run(i, effects);
     }
 
--- a/crates/pimento_consensus/tests/sim/node.rs
+++ b/crates/pimento_consensus/tests/sim/node.rs
@@ -36,14 +36,11 @@
         }
     }
 
-    pub fn start(&mut self, now: Time, seed: u64) -> Vec<Effect> {
+    pub fn start(&mut self, now: Time, seed: u64, production: bool) -> Vec<Effect> {
         let mut config = Config::new(self.vm.clone(), self.instance, self.peers.clone());
-        config.election = ELECTION;
-        config.heartbeat = Duration::from_millis(20);
-        config.batch = 256;
-        config.window = 4;
-        config.backlog = 2_000;
-        config.trail = 10;
+        if !production {
+            shorten(&mut config);
+        }
         (self.applied, self.digest) = (0, 0);
         let (raft, effects) = Raft::new(config, self.saved.clone(), now, seed);
         self.raft = Some(raft);
@@ -111,6 +108,16 @@
     }
 }
 
+/// Sets short timeouts, and limits that short schedules reach.
+fn shorten(config: &mut Config) {
+    config.election = ELECTION;
+    config.heartbeat = Duration::from_millis(20);
+    config.batch = 256;
+    config.window = 4;
+    config.backlog = 2_000;
+    config.trail = 10;
+}
+
 /// Extends a digest of the log by an entry.
 pub fn digest(before: u64, entry: &Entry) -> u64 {
     const PRIME: u64 = 0x0100_0000_01b3;
