Add the operators' command line

Operators need one tool for notes, drains, caps, claims and the control group. `pimento` tries several servers in turn, sends a note again after a lost answer (which is idempotent), waits until it is in force on every VM that answers, and ends with documented exit codes. Answers that are cut short are errors, also for backups.

--- /dev/null
+++ b/crates/pimento_cli/src/claim.rs
@@ -0,0 +1,21 @@
+//! Claims of requests that must not run twice.
+
+use crate::{
+    args::Claim,
+    client::Client,
+    exit::Failure,
+    output::{Output, lines},
+};
+
+/// Shows a claim.
+pub async fn run(client: &Client, command: Claim, out: Output) -> Result<(), Failure> {
+    let Claim::Show {
+        tenant,
+        service,
+        key,
+    } = command;
+    let path = format!("/v1/claims/{tenant}/{service}/{key}");
+    let claim = client.get(&path).await?;
+    out.print(&claim, lines);
+    Ok(())
+}
--- a/crates/pimento_cli/src/main.rs
+++ b/crates/pimento_cli/src/main.rs
@@ -1,2 +1,56 @@
-//! Placeholder.
-fn main() {}
+//! `pimento`, the operators' command line of pimentolanding.
+//!
+//! See `docs/ops/notes.md` and `docs/ops/claims.md`; the exit codes are those
+//! of [`exit::Exit`].
+
+mod args;
+mod cap;
+mod claim;
+mod client;
+mod control;
+mod exit;
+mod lookup;
+mod note;
+mod output;
+mod status;
+mod wait;
+
+use args::{Args, Command};
+use clap::{CommandFactory, Parser};
+use client::Client;
+use exit::{Exit, Failure};
+use output::Output;
+use std::process::ExitCode;
+
+#[actix_rt::main]
+async fn main() -> ExitCode {
+    let args = Args::parse();
+    match run(args).await {
+        Ok(code) => code,
+        Err(failure) => {
+            eprintln!("pimento: {failure}");
+            failure.exit.into()
+        }
+    }
+}
+
+async fn run(args: Args) -> Result<ExitCode, Failure> {
+    let out = Output::new(args.output);
+    let connect = || Client::new(&args.server, args.token.as_deref(), args.timeout);
+    match args.command {
+        Command::Note(command) => note::run(command, connect, out).await?,
+        Command::Status => status::show(&connect()?, out).await?,
+        Command::Target(command) => status::drain_target(&connect()?, command, out).await?,
+        Command::Vm(command) => status::drain_vm(&connect()?, command, out).await?,
+        Command::Cap(command) => cap::run(&connect()?, command, out).await?,
+        Command::Claim(command) => claim::run(&connect()?, command, out).await?,
+        Command::Lookup(query) => lookup::run(query, args.timeout, out).await?,
+        Command::Control(command) => control::run(&connect()?, command, out).await?,
+        Command::Backup(target) => control::backup(&connect()?, target, out).await?,
+        Command::Completions { shell } => {
+            let mut command = Args::command();
+            clap_complete::generate(shell, &mut command, "pimento", &mut std::io::stdout());
+        }
+    }
+    Ok(Exit::Ok.into())
+}
--- a/crates/pimento_rules/src/apply.rs
+++ b/crates/pimento_rules/src/apply.rs
@@ -1,8 +1,6 @@
 //! Putting a release note in force.
 
-use crate::{
-    Block, Blocks, Domain, Fault, Link, Note, NoteError, Rules, blocks::Edit, check::check_items,
-};
+use crate::{Block, Blocks, Domain, Fault, Link, Note, NoteError, Rules, blocks::Edit};
 use std::fmt::Display;
 
 /// The most regions, failure domains, links and services each.
@@ -26,8 +24,7 @@
             let found = note.number;
             return Err(NoteError::Number { found, expected });
         }
-        check_items(&note.added, "added")?;
-        check_items(&note.changed, "changed")?;
+        note.check()?;
         let rules = Self {
             version: note.number,
             regions: regions(self, note)?,
--- a/crates/pimento_rules/src/check.rs
+++ b/crates/pimento_rules/src/check.rs
@@ -1,6 +1,6 @@
 //! Checks of single items, whatever else the note or the rules hold.
 
-use crate::{Block, Domain, Fault, Items, Link, NoteError, Region, Service};
+use crate::{Block, Domain, Fault, Items, Link, Note, NoteError, Region, Service};
 
 /// The longest timeout of a service, in milliseconds.
 const MAX_TIMEOUT: u64 = 600_000;
@@ -25,8 +25,20 @@
 
 type Checked = Result<(), NoteError>;
 
+impl Note {
+    /// Checks what needs no rules in force, such as ranges.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`NoteError`] that names the path of the first field at fault.
+    pub fn check(&self) -> Result<(), NoteError> {
+        check_items(&self.added, "added")?;
+        check_items(&self.changed, "changed")
+    }
+}
+
 /// Checks every item of a list such as `added`.
-pub(crate) fn check_items(items: &Items, list: &str) -> Checked {
+fn check_items(items: &Items, list: &str) -> Checked {
     check_each(&items.regions, list, "regions", check_region)?;
     check_each(&items.domains, list, "domains", |_: &Domain, _| Ok(()))?;
     check_each(&items.links, list, "links", check_link)?;
--- a/crates/pimento_rules/src/parse.rs
+++ b/crates/pimento_rules/src/parse.rs
@@ -42,9 +42,15 @@
         line: at.line(),
         column: at.column(),
     });
+    let text = error.without_snippet().to_string();
+    // The place has a field of its own.
+    let tail = place
+        .map(|place| format!(" at {place}"))
+        .unwrap_or_default();
+    let fault = text.strip_suffix(&tail).unwrap_or(&text).to_owned();
     NoteError::Parse {
         field,
         place,
-        fault: error.without_snippet().to_string(),
+        fault,
     }
 }
--- /dev/null
+++ b/crates/pimento_rules/tests/blocks.rs
@@ -0,0 +1,136 @@
+//! The table of blocks against a plain model.
+
+use bolero::check;
+use ipnet::IpNet;
+use pimento_rules::{Block, Blocks, Domain, Items, Note, Region, Rules, Withdrawn};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, Ipv4Addr, Ipv6Addr},
+};
+
+fn net(seed: u32) -> IpNet {
+    let len = (8 + seed % 21) as u8;
+    let addr = if seed.is_multiple_of(5) {
+        IpAddr::V6(Ipv6Addr::from(u128::from(seed) << 96))
+    } else {
+        IpAddr::V4(Ipv4Addr::from(seed.wrapping_mul(0x0101_0101)))
+    };
+    IpNet::new(addr, len).expect("the length fits").trunc()
+}
+
+fn block(net: IpNet, domain: usize) -> Block {
+    let domain = format!("domain-{}", domain % 2);
+    let domain = domain.parse().expect("a valid name");
+    Block { net, domain }
+}
+
+fn start() -> Rules {
+    let domain = |n: usize| Domain {
+        name: format!("domain-{n}").parse().expect("a valid name"),
+        region: "r".parse().expect("a valid name"),
+    };
+    let added = Items {
+        regions: vec![Region {
+            name: "r".parse().expect("a valid name"),
+            reserve: 0,
+        }],
+        domains: vec![domain(0), domain(1)],
+        ..Items::default()
+    };
+    let note = Note {
+        number: 1,
+        added,
+        ..Note::default()
+    };
+    Rules::default().apply(&note).expect("the note is valid")
+}
+
+/// A note from random choices, and the model changed alike.
+fn step(model: &mut BTreeMap<IpNet, Block>, picks: &[(u32, u8)], number: u64) -> Note {
+    let mut added = Vec::new();
+    let mut changed = Vec::new();
+    let mut withdrawn = Vec::new();
+    let picks: BTreeMap<IpNet, u8> = picks.iter().map(|(n, op)| (net(*n), *op)).collect();
+    for (net, op) in picks {
+        let block = block(net, usize::from(op));
+        match (model.contains_key(&net), op % 3) {
+            (false, _) => {
+                added.push(block.clone());
+                model.insert(net, block);
+            }
+            (true, 0) => {
+                withdrawn.push(net);
+                model.remove(&net);
+            }
+            (true, _) => {
+                changed.push(block.clone());
+                model.insert(net, block);
+            }
+        }
+    }
+    let items = |blocks| Items {
+        blocks,
+        ..Items::default()
+    };
+    Note {
+        number,
+        added: items(added),
+        changed: items(changed),
+        withdrawn: Withdrawn {
+            blocks: withdrawn,
+            ..Withdrawn::default()
+        },
+    }
+}
+
+fn longest(model: &BTreeMap<IpNet, Block>, ip: IpAddr) -> Option<&Block> {
+    let holding = model.values().filter(|block| block.net.contains(&ip));
+    holding.max_by_key(|block| block.net.prefix_len())
+}
+
+#[test]
+fn same_as_model() {
+    check!()
+        .with_type::<Vec<Vec<(u32, u8)>>>()
+        .for_each(|notes| {
+            let mut rules = start();
+            let mut model = BTreeMap::new();
+            for (picks, number) in notes.iter().zip(2..) {
+                let note = step(&mut model, picks, number);
+                let note = Note::decode(&note.encode()).expect("a note decodes");
+                rules = rules.apply(&note).expect("the note is valid");
+                assert!(rules.blocks.iter().eq(model.values()));
+                assert_eq!(rules.blocks.len(), model.len());
+                for (seed, _) in picks {
+                    let ip = net(*seed).addr();
+                    assert_eq!(rules.blocks.locate(ip), longest(&model, ip));
+                    let near = IpAddr::V4(Ipv4Addr::from(*seed));
+                    assert_eq!(rules.blocks.locate(near), longest(&model, near));
+                }
+            }
+        });
+}
+
+#[test]
+fn many_chunks() {
+    let nets = (0..10_000_u32).map(|n| IpAddr::V4(Ipv4Addr::from(n << 8)));
+    let nets = nets.map(|addr| IpNet::new(addr, 24).expect("the length fits"));
+    let all: Vec<Block> = nets.zip(0..).map(|(net, n)| block(net, n)).collect();
+    let mut rules = start();
+    for (part, number) in all.chunks(700).zip(2..) {
+        let note = Note {
+            number,
+            added: Items {
+                blocks: part.iter().rev().cloned().collect(),
+                ..Items::default()
+            },
+            ..Note::default()
+        };
+        rules = rules.apply(&note).expect("the note is valid");
+    }
+    assert_eq!(rules.blocks, Blocks::from(all.clone()));
+    let found = rules
+        .blocks
+        .locate("0.3.7.200".parse().expect("an address"));
+    assert_eq!(found, Some(&all[0x307]));
+}
