--- a/crates/pimento_cli/src/args.rs
+++ b/crates/pimento_cli/src/args.rs
@@ -82,6 +82,8 @@
     Control(Control),
     /// Writes a copy of the replicated state to a file.
     Backup(Backup),
+    /// Sends requests as callers do, and checks the answers.
+    Load(Box<pimento_load::Args>),
     /// Prints a script that completes this command line in a shell.
     Completions {
         /// The shell.
--- a/crates/pimento_cli/src/main.rs
+++ b/crates/pimento_cli/src/main.rs
@@ -34,6 +34,13 @@
     }
 }
 
+/// Runs the load tool, which has exit codes of its own.
+async fn run_load(args: pimento_load::Args, out: Output) -> Result<ExitCode, Failure> {
+    let json = out.is_json();
+    let done = pimento_load::run(pimento_load::Args { json, ..args }).await;
+    done.map_err(|e| Failure::failed(format!("{e:#}")))
+}
+
 async fn run(args: Args) -> Result<ExitCode, Failure> {
     let out = Output::new(args.output);
     let connect = || Client::new(&args.server, args.token.as_deref(), args.timeout);
@@ -47,6 +54,7 @@
         Command::Lookup(query) => lookup::run(query, args.timeout, out).await?,
         Command::Control(command) => control::run(&connect()?, command, out).await?,
         Command::Backup(target) => control::backup(&connect()?, target, out).await?,
+        Command::Load(load) => return run_load(*load, out).await,
         Command::Completions { shell } => {
             let mut command = Args::command();
             clap_complete::generate(shell, &mut command, "pimento", &mut std::io::stdout());
--- a/crates/pimento_cli/src/output.rs
+++ b/crates/pimento_cli/src/output.rs
@@ -16,6 +16,11 @@
         Self { form }
     }
 
+    /// Whether results are printed for programs.
+    pub const fn is_json(self) -> bool {
+        matches!(self.form, Form::Json)
+    }
+
     /// Prints a result: the document itself, or the text made of it.
     pub fn print(self, document: &Value, text: impl FnOnce(&Value) -> String) {
         let text = match self.form {
