--- a/crates/pimento_lease/tests/common/mod.rs
+++ b/crates/pimento_lease/tests/common/mod.rs
@@ -1,5 +1,11 @@
 //! Names, addresses and short-cuts for the tests of the lease.
 
+#![allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "each test file uses its own part"
+)]
+
 use pimento_core::{Time, VmId};
 use pimento_lease::{Announcer, Candidate, Facts, LeaseConfig, Leases};
 use std::{net::SocketAddr, time::Duration};
--- a/crates/pimento_lease/tests/takeover.rs
+++ b/crates/pimento_lease/tests/takeover.rs
@@ -103,6 +103,33 @@
     assert!(new.permit(at(3_540), &t1()).is_some(), "nothing waits");
 }
 
+#[test]
+fn early_release() {
+    let (mut ann, mut vm) = (target(1, 1..2), leases(1));
+    keep(0, 1_001, &mut ann, &mut vm);
+    let live = [candidate(2)];
+    assert!(vm.view(at(1_000), &t1()).is_some(), "held, but waits");
+    assert_eq!(vm.release(at(1_000), &t1(), 0, &live), None);
+}
+
+#[test]
+fn skipped_epoch() {
+    let (mut ann, mut old) = held();
+    let mut new = leases(2);
+    for life in 8..10 {
+        exchange(at(0), &mut target(life, 1..2), &mut new, &[]);
+    }
+    let live = [candidate(1), candidate(2)];
+    let (_, release) = old.release(at(3_100), &t1(), 0, &live).expect("held");
+    new.accept(at(3_150), release);
+    exchange(at(3_500), &mut ann, &mut old, &live);
+    exchange(at(3_520), &mut ann, &mut new, &live);
+    exchange(at(3_540), &mut ann, &mut new, &live);
+    // Epoch 3 follows epoch 1: another holder may have had epoch 2.
+    assert_eq!(new.view(at(3_540), &t1()).expect("held").epoch, 3);
+    assert_eq!(new.permit(at(3_540), &t1()), None, "waits");
+}
+
 #[test]
 fn forged_release() {
     let (mut ann, mut old) = held();
