--- /dev/null
+++ b/crates/pimento_standin/src/announce.rs
@@ -0,0 +1,75 @@
+//! The loop in which a stand-in target announces itself.
+
+use crate::shared::Shared;
+use awc::Client;
+use pimento_core::Time;
+use pimento_lease::{AnnounceReply, Announcement, Announcer, Facts};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+/// The longest wait for the reply to an announcement.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The time between two looks at what is due.
+const POLL: Duration = Duration::from_millis(10);
+
+/// Announces the target until the task is aborted.
+pub(crate) async fn run(shared: Arc<Shared>, address: SocketAddr) {
+    let client = Client::builder().timeout(REPLY_TIMEOUT).finish();
+    let entries = shared.config.entries.clone();
+    let mut announcer = Announcer::new(facts(&shared, address), entries, shared.config.seed);
+    loop {
+        announcer.set_state(shared.state());
+        announcer.set_load(shared.running());
+        if let Some((entry, announcement)) = announcer.next(now(&shared)) {
+            match send(&client, entry, &announcement).await {
+                Some(reply) => announcer.replied(now(&shared), reply),
+                None => announcer.failed(now(&shared)),
+            }
+        }
+        tokio::select! {
+            () = actix_rt::time::sleep(POLL) => {}
+            () = shared.changed.notified() => {}
+        }
+    }
+}
+
+/// The time since the start of the target.
+fn now(shared: &Shared) -> Time {
+    Time::ZERO + shared.started.elapsed()
+}
+
+fn facts(shared: &Shared, address: SocketAddr) -> Facts {
+    let config = &shared.config;
+    Facts {
+        target: config.target.clone(),
+        instance: instance(),
+        service: config.service.clone(),
+        address,
+        slots: config.slots,
+        connections: config.connections,
+    }
+}
+
+/// A number that differs between starts of the process.
+fn instance() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(1, |time| time.as_micros() as u64)
+}
+
+/// Sends one announcement; any failure is the same to a target.
+async fn send(
+    client: &Client,
+    entry: SocketAddr,
+    announcement: &Announcement,
+) -> Option<AnnounceReply> {
+    let url = format!("http://{entry}/v1/announce");
+    let mut response = client.post(url).send_json(announcement).await.ok()?;
+    if !response.status().is_success() {
+        return None;
+    }
+    response.json().await.ok()
+}
