--- a/crates/pimento_load/src/args.rs
+++ b/crates/pimento_load/src/args.rs
@@ -19,8 +19,12 @@
 #[derive(Clone, Debug, ClapArgs)]
 pub struct Args {
     /// Callers' listeners of entry VMs to ask for look-ups.
-    #[arg(long, required = true, value_delimiter = ',')]
+    #[arg(long, required_unless_present = "entries", value_delimiter = ',')]
     pub callers: Vec<SocketAddr>,
+    /// Listeners to send all requests to, in the order of preference, without
+    /// look-ups.
+    #[arg(long, conflicts_with = "callers", value_delimiter = ',')]
+    pub entries: Vec<SocketAddr>,
     /// Services whose requests may be repeated.
     #[arg(long, value_delimiter = ',')]
     pub service: Vec<ServiceId>,
--- a/crates/pimento_load/src/caller.rs
+++ b/crates/pimento_load/src/caller.rs
@@ -66,6 +66,9 @@
     /// The entry VMs for a service, from the cache while it is fresh; an old
     /// answer is better than none.
     pub(crate) async fn entries(&self, service: usize, block: usize) -> Vec<SocketAddr> {
+        if !self.args.entries.is_empty() {
+            return self.args.entries.clone();
+        }
         let blocks = self.args.block.len().max(1);
         let mut cell = self.cache[service * blocks + block].lock().await;
         if let Some(known) = cell.as_ref().filter(|k| k.is_fresh(Instant::now())) {
--- a/crates/pimento_load/src/run.rs
+++ b/crates/pimento_load/src/run.rs
@@ -7,11 +7,17 @@
 use actix_rt::task::JoinHandle;
 use anyhow::ensure;
 use std::{cell::RefCell, process::ExitCode, rc::Rc, time::Duration};
-use tokio::time::{Instant, interval, sleep_until};
+use tokio::{
+    task::yield_now,
+    time::{Instant, interval, sleep_until},
+};
 
 /// The time between two lines of progress.
 const PROGRESS: Duration = Duration::from_secs(2);
 
+/// The resolution of the runtime's timer.
+const TICK: Duration = Duration::from_millis(1);
+
 /// The time between two looks at requests in flight after the last was sent.
 const POLL: Duration = Duration::from_millis(10);
 
@@ -64,7 +70,7 @@
     let begun = Instant::now();
     for arrival in Schedule::new(&callers.args) {
         let start = begun + arrival.at;
-        sleep_until(start).await;
+        wait_until(start).await;
         // The list of tasks itself counts those in flight.
         if Rc::strong_count(tally) > callers.args.limit + OWNERS {
             tally.borrow_mut().dropped += 1;
@@ -78,6 +84,18 @@
     }
 }
 
+/// Waits for a time more precisely than the timer alone, whose ticks are
+/// [`TICK`] apart, and lets requests in flight go on.
+async fn wait_until(time: Instant) {
+    let early = time.checked_sub(TICK).unwrap_or(time);
+    if Instant::now() < early {
+        sleep_until(early).await;
+    }
+    while Instant::now() < time {
+        yield_now().await;
+    }
+}
+
 /// Owners of the tally besides requests in flight: the run and the progress.
 const OWNERS: usize = 2;
 
--- a/crates/pimento_load/tests/load/resend.rs
+++ b/crates/pimento_load/tests/load/resend.rs
@@ -40,3 +40,14 @@
     assert_eq!(broken, [""; 0]);
     assert!(report.lookups > 1, "{report}");
 }
+
+#[actix_rt::test]
+async fn fixed_entries() {
+    let good = target(100, Fault::None);
+    let mut args = args(&[], &[good.address()]);
+    args.callers.clear();
+    args.entries = vec![good.address()];
+    let (report, broken) = broken(args).await;
+    assert_eq!(broken, [""; 0]);
+    assert_eq!((report.answered, report.lookups), (report.sent, 0));
+}
--- a/crates/pimento_load/tests/load/support.rs
+++ b/crates/pimento_load/tests/load/support.rs
@@ -111,6 +111,7 @@
 pub(crate) fn args(entries: &[SocketAddr], targets: &[SocketAddr]) -> Args {
     Args {
         callers: vec![lookup(entries)],
+        entries: Vec::new(),
         service: Vec::new(),
         once: vec![service()],
         rate: 100.0,
