--- a/scripts/e2e.sh
+++ b/scripts/e2e.sh
@@ -8,93 +8,16 @@
 #   KEEP  any text keeps the folder with settings, data and logs
 set -euo pipefail
 cd "$(dirname "$0")/.."
-root=$PWD
-
-for tool in curl jq; do
-    command -v "$tool" >/dev/null || { echo "e2e: needs $tool" >&2; exit 2; }
-done
 if [[ -z ${BIN:-} ]]; then
     cargo build --quiet -p pimentod -p pimento_cli
     cargo build --quiet --example target
     BIN=target/debug
 fi
 BIN=$(realpath "$BIN")
+source scripts/lib.sh
 
-work=$(mktemp -d)
-# An octet of its own for each run, so that runs side by side don't meet.
-net=127.$((11 + $$ % 240))
 entries=(entry-11 entry-12 entry-13 entry-21 entry-22 entry-23)
 controls=(control-1 control-2 control-3)
-declare -A pids=()
-step="start"
-
-say() { printf 'e2e: %s\n' "$*"; }
-
-fail() {
-    say "FAILED at step '$step': $*" >&2
-    local log
-    for log in "$work"/logs/*.err; do
-        [[ -s $log ]] || continue
-        printf -- '--- the end of %s\n' "${log##*/}" >&2
-        tail -n 5 "$log" >&2
-    done
-    exit 1
-}
-
-cleanup() {
-    local name
-    for name in "${!pids[@]}"; do
-        kill -9 "${pids[$name]}" 2>/dev/null || true
-    done
-    wait 2>/dev/null || true
-    if [[ -n ${KEEP:-} ]]; then say "kept $work"; else rm -rf "$work"; fi
-}
-trap cleanup EXIT
-trap 'exit 130' INT TERM
-trap 'fail "line $LINENO: $BASH_COMMAND"' ERR
-
-# The loopback address of a VM, by the last digits of its name.
-address() {
-    case $1 in
-        control-*) echo "$net.0.${1#control-}" ;;
-        entry-*) echo "$net.${1:6:1}.${1:7:1}" ;;
-    esac
-}
-callers() { echo "$(address "$1"):7100"; }
-operators() { echo "http://$(address "$1"):7300"; }
-
-spawn() { # NAME PROGRAM ARGUMENTS...
-    local name=$1
-    shift
-    (cd "$work" && exec "$@") >>"$work/logs/$name.out" 2>>"$work/logs/$name.err" &
-    pids[$name]=$!
-}
-start_vm() { spawn "$1" "$BIN/pimentod" run --settings "$work/settings/$1.yaml"; }
-
-stop() { # SIGNAL NAME; waits for the end
-    kill "-$1" "${pids[$2]}"
-    wait "${pids[$2]}" 2>/dev/null || true
-    unset "pids[$2]"
-}
-
-# Repeats a command until it succeeds, SECONDS at most.
-within() {
-    local end=$((SECONDS + $1))
-    shift
-    until "$@" >/dev/null 2>&1; do
-        if ((SECONDS >= end)); then fail "not in time: $*"; fi
-        sleep 0.1
-    done
-}
-
-get() { curl --silent --show-error --fail --max-time 3 "$@"; }
-status() { get -H "Authorization: Bearer $(<"$work/secrets/operators")" "$(operators "$1")/v1/status"; }
-lookup() { get "http://$(callers "$1")/v1/lookup?service=$2"; }
-names() { lookup "$1" "$2" | jq -e --arg vm "$(callers "$3")" '.entries | index($vm) != null'; }
-names_not() { lookup "$1" "$2" | jq -e --arg vm "$(callers "$3")" '.entries | index($vm) == null'; }
-at_version() { status "$1" | jq -e --argjson version "$2" '.version == $version'; }
-counter() { get "http://$1/counters" | jq -e ".$2"; }
-joined() { local IFS=,; echo "$*"; }
 
 load() { # NAME ARGUMENTS...; leaves the report in NAME.json
     local name=$1
@@ -116,25 +39,15 @@
 }
 
 step="settings"
-mkdir -p "$work"/{settings,secrets,data,logs}
-for file in examples/settings/*.yaml; do
-    sed "s/127\.10\./$net./g" "$file" >"$work/settings/${file##*/}"
-    "$BIN/pimentod" check --settings "$work/settings/${file##*/}" >/dev/null
+make_settings
+for file in "$work"/settings/*.yaml; do
+    # Short limits, so that slow input is told so during the run.
+    echo "limits: { head: 1000, body: 1000 }" >>"$file"
+    "$BIN/pimentod" check --settings "$file" >/dev/null
 done
-echo "e2e-operator-token" >"$work/secrets/operators"
-echo "e2e-link-key-of-32-bytes-or-more" >"$work/secrets/links"
-export PIMENTO_TOKEN_FILE=$work/secrets/operators
-PIMENTO_SERVER=$(joined $(for vm in "${controls[@]}" "${entries[@]}"; do operators "$vm"; done))
-export PIMENTO_SERVER
 
 step="start"
-for vm in "${controls[@]}" "${entries[@]}"; do
-    mkdir -p "$work/data/$vm"
-    start_vm "$vm"
-done
-for vm in "${controls[@]}" "${entries[@]}"; do
-    within 10 get "$(operators "$vm")/healthz"
-done
+start_vms "${controls[@]}" "${entries[@]}"
 targets=()
 for domain in 1 2; do
     for i in 1 2 3 4; do
@@ -142,9 +55,7 @@
         if ((i > 2)); then service=signups; fi
         target=$net.1$domain.$i:9000
         targets+=("$target")
-        spawn "target-$domain$i" "$BIN/examples/target" --target "t$domain$i" \
-            --service "$service" --address "$target" --slots 4 --time-ms 10 --shape exponential \
-            --entry "$net.$domain.1:7200" --entry "$net.$domain.2:7200" --entry "$net.$domain.3:7200"
+        start_target "t$domain$i" "$service" "$target" --slots 4 --time-ms 10 --shape exponential
     done
 done
 live=$(joined $(for vm in "${entries[@]}"; do callers "$vm"; done))
@@ -157,15 +68,7 @@
 say "note 1 is in force on ${#entries[@]} entry VMs"
 
 step="leases"
-leases() {
-    local vm total=0
-    for vm in "${entries[@]}"; do
-        total=$((total + $(status "$vm" | jq '.targets | length')))
-    done
-    ((total >= ${#targets[@]}))
-}
-within 15 leases
-answers() { get "http://$(callers "$1")/s/shifts/r1?nonce=abc" | grep -qx abc; }
+within 15 lease_count "${#targets[@]}" "${entries[@]}"
 for vm in "${entries[@]}"; do
     within 10 answers "$vm"
 done
@@ -181,6 +84,49 @@
 answers "$bystander"
 say "$bystander holds no target of shifts and answered a request to it"
 
+step="input limits"
+at=$(callers entry-11)
+key=$(new_key)
+# Expects a status and the verdict that nothing ran.
+refused() { # STATUS CURL-ARGUMENTS...
+    local status=$1 head
+    shift
+    head=$(curl --silent --max-time 5 --output /dev/null --dump-header - "$@") || true
+    if [[ $head != "HTTP/1.1 $status "* ]] || ! grep -qi '^pimento-verdict: not-run' <<<"$head"; then
+        fail "expected $status and not-run for ${*: -1}, got ${head:-nothing}"
+    fi
+}
+# Sends raw bytes, keeps the connection open, and expects a status.
+raw() { # STATUS BYTES
+    local reply
+    exec 9<>"/dev/tcp/${at/://}"
+    printf '%b' "$2" >&9
+    reply=$(timeout 8 head -n 1 <&9) || true
+    exec 9>&-
+    [[ $reply == "HTTP/1.1 $1 "* ]] || fail "expected $1 for ${2:0:60}, got ${reply:-nothing}"
+}
+raw 408 'GET /s/shifts/r1 HTTP/1.1\r\nhost: a' &
+slow_head=$!
+raw 408 "POST /s/signups/r1 HTTP/1.1\r\nhost: a\r\nidempotency-key: $key\r\ncontent-length: 9\r\n\r\nab" &
+slow_body=$!
+head -c 1100000 /dev/zero >"$work/large"
+refused 413 --data-binary "@$work/large" "http://$at/s/shifts/large"
+refused 413 --data-binary "@$work/large" -H "idempotency-key: $key" "http://$at/s/signups/large"
+refused 400 --data x "http://$at/s/signups/no-key"
+refused 400 --data x -H 'idempotency-key: 7' "http://$at/s/signups/bad-key"
+refused 400 -H 'pimento-timeout-ms: soon' "http://$at/s/shifts/bad-timeout"
+refused 400 -H 'pimento-class: royal' "http://$at/s/shifts/bad-class"
+refused 403 -H 'pimento-tenant: nobody' "http://$at/s/shifts/bad-tenant"
+refused 404 "http://$at/s/nothing/no-service"
+raw 400 'GET /s/shifts/r1 HTTP/1.1\r\nbad header\r\n\r\n'
+raw 400 'POST /s/shifts/r1 HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n'
+wait "$slow_head" || fail "slow head"
+wait "$slow_body" || fail "slow body"
+free() { status "$1" | jq -e 'all(.targets[]; .used == 0)'; }
+for vm in "${entries[@]}"; do within 3 free "$vm"; done
+answers entry-11
+say "oversized, malformed and slow input was refused and holds no slot"
+
 step="drained target"
 code=0
 load steady --rate 150 --seconds 2 || code=$?
