--- a/scripts/e2e.sh
+++ b/scripts/e2e.sh
@@ -19,20 +19,22 @@
 entries=(entry-11 entry-12 entry-13 entry-21 entry-22 entry-23)
 controls=(control-1 control-2 control-3)
 
-load() { # NAME ARGUMENTS...; leaves the report in NAME.json
-    local name=$1
+load() { # NAME ARGUMENTS...; leaves the report in NAME.json and the exit code in NAME.code
+    local name=$1 code=0
     shift
     "$BIN/pimento" --output json load --callers "$live" --service shifts --once signups \
         --targets "$(joined "${targets[@]}")" "$@" \
-        >"$work/logs/$name.json" 2>"$work/logs/$name.err"
+        >"$work/logs/$name.json" 2>"$work/logs/$name.err" || code=$?
+    echo "$code" >"$work/logs/$name.code"
 }
-judge() { # NAME CODE; shows the counts of a load run and fails if it broke a promise
-    local report=$work/logs/$1.json
+judge() { # NAME; shows the counts of a load run and fails if it broke a promise
+    local report=$work/logs/$1.json code
+    code=$(<"$work/logs/$1.code")
     jq -r --arg name "$1" '"e2e: load \($name): \(.sent) sent, \(.answered) answered, \(.failed) failed with a verdict, \(.unanswered) without answer, \(.resent) resent, \(.lost + .truncated) lost or cut, \(.duplicates) repeated runs, \([.targets[].overruns] | add) overruns, \(.verdicts.missing) verdicts missing"' "$report" ||
         fail "no report of load run $1"
-    if (($2 != 0)); then
+    if ((code != 0)); then
         jq -c '.broken, .failures' "$report" >&2
-        fail "load run $1 ended with $2"
+        fail "load run $1 ended with $code"
     fi
     jq -e '.answered > 0 and .answered * 10 > .sent * 9' "$report" >/dev/null ||
         { jq -c '.failures' "$report" >&2; fail "fewer than 9 in 10 requests of $1 were answered"; }
@@ -91,7 +93,7 @@
 refused() { # STATUS CURL-ARGUMENTS...
     local status=$1 head
     shift
-    head=$(curl --silent --max-time 5 --output /dev/null --dump-header - "$@") || true
+    head=$(curl --silent --max-time 5 -H 'Expect:' --output /dev/null --dump-header - "$@") || true
     if [[ $head != "HTTP/1.1 $status "* ]] || ! grep -qi '^pimento-verdict: not-run' <<<"$head"; then
         fail "expected $status and not-run for ${*: -1}, got ${head:-nothing}"
     fi
@@ -124,20 +126,18 @@
 wait "$slow_body" || fail "slow body"
 free() { status "$1" | jq -e 'all(.targets[]; .used == 0)'; }
 for vm in "${entries[@]}"; do within 3 free "$vm"; done
-answers entry-11
+within 5 answers entry-11
 say "oversized, malformed and slow input was refused and holds no slot"
 
 step="drained target"
-code=0
-load steady --rate 150 --seconds 2 || code=$?
-judge steady "$code"
+load steady --rate 150 --seconds 2
+judge steady
 drained=${targets[0]}
 "$BIN/pimento" target drain t11 >/dev/null
 sleep 3
 before=$(counter "$drained" runs)
-code=0
-load drained --rate 150 --seconds 2 || code=$?
-judge drained "$code"
+load drained --rate 150 --seconds 2
+judge drained
 after=$(counter "$drained" runs)
 ((before > 0)) || fail "target t11 ran nothing before it was drained"
 ((after == before)) || fail "drained target t11 ran $((after - before)) requests"
@@ -151,9 +151,8 @@
 stop 9 control-1
 "$BIN/pimento" note apply "$root/examples/notes/2.yaml" >/dev/null ||
     fail "no note was accepted with one control VM down"
-code=0
-wait "$loading" || code=$?
-judge killed "$code"
+wait "$loading"
+judge killed
 start_vm control-1
 start_vm entry-12
 within 15 at_version entry-12 2
@@ -178,9 +177,8 @@
 exited=$(($(date +%s%3N) - begun))
 wait "${pids[entry-21]}" || fail "entry-21 exited with $?"
 unset "pids[entry-21]"
-code=0
-wait "$loading" || code=$?
-judge stopped "$code"
+wait "$loading"
+judge stopped
 say "entry-21 stopped: unnamed by look-ups after $unnamed ms, exited after $exited ms"
 
 step="end"
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -4,7 +4,7 @@
 #
 #   BIN   the folder of the built programs
 #   KEEP  any text keeps the folder
-set -euo pipefail
+set -Eeuo pipefail
 
 root=$PWD
 name=$(basename "$0" .sh)
@@ -21,6 +21,8 @@
 say() { printf '%s: %s\n' "$name" "$*"; }
 
 fail() {
+    # Subshells fail on their way out too; the first one tells.
+    mkdir "$work/failed" 2>/dev/null || exit 1
     say "FAILED at step '$step': $*" >&2
     local log
     for log in "$work"/logs/*.err; do
