--- a/crates/pimento_standin/tests/counts.rs
+++ b/crates/pimento_standin/tests/counts.rs
@@ -3,8 +3,8 @@
 use awc::Client;
 use futures_util::future::join_all;
 use pimento_core::{ServiceId, TargetId};
-use pimento_standin::{Counters, Standin, StandinConfig};
-use std::time::Duration;
+use pimento_standin::{Cold, Counters, ServiceTime, Standin, StandinConfig};
+use std::time::{Duration, Instant};
 
 fn start(slots: u32) -> Standin {
     let target = TargetId::new("t1").expect("a name");
@@ -81,3 +81,23 @@
     let counters = settle(&standin, |c| c.connections == 0).await;
     assert_eq!(counters.connections, 0);
 }
+
+#[actix_rt::test]
+async fn cold_start() {
+    let target = TargetId::new("t1").expect("a name");
+    let service = ServiceId::new("shifts").expect("a name");
+    let cold = Cold {
+        period: Duration::from_mins(1),
+        factor: 10.0,
+    };
+    let config = StandinConfig {
+        time: ServiceTime::Fixed(Duration::from_millis(20)),
+        cold,
+        ..StandinConfig::new(target, service)
+    };
+    let standin = Standin::start(config).expect("a free port");
+    let url = format!("http://{}/?nonce=n", standin.address());
+    let begun = Instant::now();
+    Client::default().get(url).send().await.expect("an answer");
+    assert!(begun.elapsed() >= Duration::from_millis(200));
+}
