--- a/crates/pimento_load/src/lib.rs
+++ b/crates/pimento_load/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod args;
 mod attempt;
+mod broken;
 mod caller;
 mod lookup;
 mod outcome;
@@ -20,6 +21,7 @@
 mod witness;
 
 pub use args::{Args, ClassShare, ClassShareError};
-pub use report::{Broken, EntryRow, FailureRow, LatencyRow, Report, TargetRow};
+pub use broken::Broken;
+pub use report::{EntryRow, FailureRow, LatencyRow, Report, TargetRow};
 pub use run::{measure, run};
 pub use schedule::{Arrival, Schedule};
--- a/crates/pimento_load/src/report.rs
+++ b/crates/pimento_load/src/report.rs
@@ -1,7 +1,7 @@
 //! What a run of the load tool found.
 
 use crate::{
-    Args,
+    Broken,
     caller::{Callers, Service},
     tally::{Tally, histogram},
     witness::Evidence,
@@ -10,7 +10,7 @@
 use pimento_core::Verdict;
 use pimento_standin::Counters;
 use serde::Serialize;
-use std::{fmt, net::SocketAddr};
+use std::net::SocketAddr;
 
 /// What a run of the load tool found; printed as JSON it has these fields.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -159,32 +159,6 @@
     }
 }
 
-/// A promise of the system that was broken.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case", tag = "promise", content = "count")]
-pub enum Broken {
-    /// A key ran more than once.
-    DuplicateRun(u64),
-    /// A target ran more requests than it has slots.
-    SlotOverrun(u64),
-    /// A target got more connections than it takes.
-    ConnectionOverrun(u64),
-    /// A failure came without its verdict.
-    MissingVerdict(u64),
-    /// A request ran although its caller was told that it did not.
-    DeniedRun(u64),
-    /// A request was answered and ran nowhere.
-    UnfoundedAnswer(u64),
-    /// An answer was not the one to the request.
-    WrongAnswer(u64),
-    /// More answers were lost or cut short than allowed.
-    LostAnswer(u64),
-    /// More requests stayed without any answer than allowed.
-    Unanswered(u64),
-    /// The counts of a target could not be read, so nothing is proved.
-    UnreadTarget(u64),
-}
-
 impl Report {
     pub(crate) fn new(callers: &Callers, tally: &Tally, evidence: Evidence) -> Self {
         let (lookups, unresolved) = callers.lookups();
@@ -215,49 +189,9 @@
             unfounded: evidence.unfounded,
             broken: Vec::new(),
         };
-        report.broken = report.judge(&callers.args);
+        report.broken = Broken::find(&report, &callers.args);
         report
     }
-
-    fn judge(&self, args: &Args) -> Vec<Broken> {
-        let total = |count: fn(&TargetRow) -> u64| self.targets.iter().map(count).sum();
-        let over = |count: u64, allowed: u64| if count > allowed { count } else { 0 };
-        let checks = [
-            (self.duplicates, Broken::DuplicateRun as fn(u64) -> Broken),
-            (total(|t| t.overruns), Broken::SlotOverrun),
-            (total(|t| t.excess), Broken::ConnectionOverrun),
-            (self.verdicts.missing, Broken::MissingVerdict),
-            (self.denied, Broken::DeniedRun),
-            (self.unfounded, Broken::UnfoundedAnswer),
-            (self.wrong, Broken::WrongAnswer),
-            (
-                over(self.lost + self.truncated, args.lost),
-                Broken::LostAnswer,
-            ),
-            (over(self.unanswered, args.unanswered), Broken::Unanswered),
-            (self.unread, Broken::UnreadTarget),
-        ];
-        let broken = checks.into_iter().filter(|(count, _)| *count > 0);
-        broken.map(|(count, promise)| promise(count)).collect()
-    }
-}
-
-impl fmt::Display for Broken {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (what, count) = match self {
-            Self::DuplicateRun(n) => ("repeated runs of a key", n),
-            Self::SlotOverrun(n) => ("runs above a target's slots", n),
-            Self::ConnectionOverrun(n) => ("connections above what a target takes", n),
-            Self::MissingVerdict(n) => ("failures without a verdict", n),
-            Self::DeniedRun(n) => ("runs that their caller was told did not happen", n),
-            Self::UnfoundedAnswer(n) => ("answers without a run", n),
-            Self::WrongAnswer(n) => ("answers to something else", n),
-            Self::LostAnswer(n) => ("answers lost or cut short", n),
-            Self::Unanswered(n) => ("requests without any answer", n),
-            Self::UnreadTarget(n) => ("targets whose counts could not be read", n),
-        };
-        write!(f, "{what}: {count}")
-    }
 }
 
 fn verdicts(tally: &Tally) -> Verdicts {
