Show the state of all VMs in one status and pass commands on

Cause: the operators' commands read a flat status with the versions of all VMs, and a drain sent to the wrong VM ended with an error. Change: flat status with VMs and control group; 421 for a VM that is not the one meant, after which the command tries the next server.

--- a/crates/pimento_cli/src/client.rs
+++ b/crates/pimento_cli/src/client.rs
@@ -206,13 +206,13 @@
 }
 
 impl Problem {
-    /// Whether another server may do better: this one is not ready, or can't
-    /// reach a quorum, and made no change.
+    /// Whether another server may do better: this one is not ready, is not the
+    /// VM that the command is for, or can't reach a quorum, and made no change.
     pub fn is_elsewhere(&self, status: u16) -> bool {
         let unsure = self
             .verdict
             .is_some_and(|verdict| verdict != Verdict::NotRun);
-        matches!(status, 502..=504) && !unsure
+        matches!(status, 421 | 502..=504) && !unsure
     }
 
     /// The failure with the exit code for a status.
--- a/crates/pimento_entry/src/node/messages.rs
+++ b/crates/pimento_entry/src/node/messages.rs
@@ -91,7 +91,7 @@
     pub(crate) stopping: bool,
     pub(crate) targets: Vec<TargetStatus>,
     /// The other entry VMs of the failure domain.
-    pub(crate) peers: Vec<PeerStatus>,
+    pub(crate) vms: Vec<PeerStatus>,
     /// The other failure domains.
     pub(crate) domains: Vec<DomainStatus>,
 }
@@ -101,6 +101,7 @@
 pub(crate) struct PeerStatus {
     pub(crate) vm: VmId,
     pub(crate) state: &'static str,
+    pub(crate) alive: bool,
     pub(crate) version: u64,
 }
 
--- a/crates/pimento_entry/src/node/status.rs
+++ b/crates/pimento_entry/src/node/status.rs
@@ -27,7 +27,7 @@
             version: self.rules.load().version,
             stopping: self.stopping,
             targets: targets.collect(),
-            peers: self.members.peers().iter().map(peer_status).collect(),
+            vms: self.members.peers().iter().map(peer_status).collect(),
             domains: self
                 .members
                 .domains()
@@ -49,6 +49,7 @@
     PeerStatus {
         vm: peer.info.vm.clone(),
         state,
+        alive: peer.is_live(),
         version: peer.version,
     }
 }
--- a/crates/pimento_entry/src/operators.rs
+++ b/crates/pimento_entry/src/operators.rs
@@ -1,7 +1,7 @@
 //! The listener for operators.
 
 use crate::{
-    node::{Drain, GetStatus},
+    node::{Drain, GetStatus, NodeStatus},
     notes,
     problem::Problem,
     shared::{Shared, unix_millis},
@@ -21,7 +21,7 @@
     Command, Effect, Op,
     ledger::{Kind, SetCap, Slot},
 };
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use subtle::ConstantTimeEq;
@@ -82,9 +82,19 @@
     )
 }
 
+/// The state of this VM with what it knows of the others.
+#[derive(Debug, Serialize)]
+struct Status {
+    #[serde(flatten)]
+    node: NodeStatus,
+    /// What each control VM in reach says of the group.
+    control: Vec<Value>,
+}
+
 async fn status(shared: web::Data<Shared>) -> Result<HttpResponse, Problem> {
     let node = shared.node.send(GetStatus).await.map_err(stopping)?;
-    Ok(HttpResponse::Ok().json(json!({ "node": node, "control": statuses(&shared).await })))
+    let control = statuses(&shared).await;
+    Ok(HttpResponse::Ok().json(Status { node, control }))
 }
 
 async fn control(shared: web::Data<Shared>) -> HttpResponse {
@@ -110,7 +120,11 @@
         return Ok(HttpResponse::Ok().json(json!({ "target": target, "state": "draining" })));
     }
     let detail = format!("this VM does not hold target {target}; ask its holder");
-    Err(Problem::new(StatusCode::NOT_FOUND, "no-target", detail))
+    Err(Problem::new(
+        StatusCode::MISDIRECTED_REQUEST,
+        "no-target",
+        detail,
+    ))
 }
 
 async fn drain_vm(
@@ -122,7 +136,11 @@
             "this is {}; send the drain to {name} itself",
             shared.settings.vm
         );
-        return Err(Problem::new(StatusCode::NOT_FOUND, "other-vm", detail));
+        return Err(Problem::new(
+            StatusCode::MISDIRECTED_REQUEST,
+            "other-vm",
+            detail,
+        ));
     }
     shared.drain.notify_one();
     Ok(HttpResponse::Accepted().json(json!({ "vm": shared.settings.vm, "state": "draining" })))
@@ -183,7 +201,6 @@
 }
 
 #[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
 struct NewMember {
     vm: VmId,
     address: SocketAddr,
