Close connections of a stopping VM with their last answer

Cause: a caller's idle connection could carry a request just as the listeners stopped; dev mode had no rules and its commands did not run.

--- a/crates/pimento_entry/src/answer.rs
+++ b/crates/pimento_entry/src/answer.rs
@@ -152,9 +152,13 @@
         value.to_str().ok()?.parse().ok()
     }
 
-    /// Turns the answer into the response to the caller.
-    pub(crate) fn respond(self, method: &Method) -> HttpResponse {
+    /// Turns the answer into the response to the caller; `last` closes its
+    /// connection, so that the next request goes elsewhere.
+    pub(crate) fn respond(self, method: &Method, last: bool) -> HttpResponse {
         let mut response = HttpResponse::build(self.status);
+        if last {
+            response.force_close();
+        }
         for header in self.headers {
             response.append_header(header);
         }
--- a/crates/pimento_entry/src/callers.rs
+++ b/crates/pimento_entry/src/callers.rs
@@ -95,7 +95,7 @@
     match result {
         Ok(mut answer) => {
             answer.keep(open);
-            answer.respond(&inbound.method)
+            answer.respond(&inbound.method, shared.is_stopping())
         }
         Err(problem) => fail(&shared, &problem),
     }
--- a/crates/pimento_entry/src/forwards.rs
+++ b/crates/pimento_entry/src/forwards.rs
@@ -37,7 +37,7 @@
     match serve(&req, payload, &shared, &clients).await {
         Ok(mut answer) => {
             answer.keep(open);
-            answer.respond(req.method())
+            answer.respond(req.method(), shared.is_stopping())
         }
         Err(failed) => fail(&failed),
     }
--- a/crates/pimentod/src/dev.rs
+++ b/crates/pimentod/src/dev.rs
@@ -3,6 +3,7 @@
 use crate::run::Process;
 use pimento_core::{DomainId, RegionId, ServiceId, TargetId, VmId};
 use pimento_entry::Sockets;
+use pimento_rules::Note;
 use pimento_settings::{Limits, Listen, Peer, Role, Secrets, Settings, Targets};
 use pimento_standin::{Standin, StandinConfig};
 use std::{
@@ -14,6 +15,27 @@
 /// The bearer token of the development mode.
 const TOKEN: &str = "dev-operator-token";
 
+/// The first release note: one service that may be repeated and one that may
+/// not.
+const NOTE: &str = "
+number: 1
+added:
+  regions:
+  - name: dev-region
+  domains:
+  - name: dev-domain
+    region: dev-region
+  services:
+  - name: shifts
+    repeatable: true
+    class: critical
+  - name: sign-ups
+    repeatable: false
+    cap:
+      segment: 0
+      limit: 3
+";
+
 /// Runs all roles until interrupted.
 pub fn run(data: Option<PathBuf>) -> anyhow::Result<()> {
     let folder = tempfile::tempdir()?;
@@ -24,6 +46,7 @@
     adopt(&mut settings, &sockets)?;
     actix_rt::System::new().block_on(async {
         let process = Process::start(&settings, sockets)?;
+        process.apply(&Note::parse(NOTE)?).await?;
         let standins = standins(&settings)?;
         greet(&settings);
         process.wait().await?;
@@ -102,14 +125,29 @@
 
 fn greet(settings: &Settings) {
     let listen = &settings.listen;
-    let show = |name: &str, address: Option<SocketAddr>| {
+    let callers = listen.callers.unwrap_or(listen.operators);
+    let token = settings.secrets.operators.display();
+    let rows = [
+        ("callers", listen.callers),
+        ("targets", listen.targets),
+        ("operators", Some(listen.operators)),
+        ("forwards", listen.forwards),
+        ("links", Some(listen.links)),
+    ];
+    for (name, address) in rows {
         if let Some(address) = address {
-            println!("{name:<10} http://{address}");
+            println!("{name:<10} {address}");
         }
-    };
-    show("callers", listen.callers);
-    show("targets", listen.targets);
-    show("operators", Some(listen.operators));
-    println!("{:<10} {}", "links", listen.links);
-    show("forwards", listen.forwards);
+    }
+    println!();
+    println!("Targets are taken within some seconds. Then try:");
+    println!("  curl 'http://{callers}/s/shifts/today?nonce=hello'");
+    println!(
+        "  curl -X POST http://{callers}/s/sign-ups/shift-7 -d me -H \"Idempotency-Key: {}\"",
+        uuid::Uuid::now_v7()
+    );
+    println!(
+        "  cargo run --bin pimento -- --server http://{} --token-file {token} status",
+        listen.operators
+    );
 }
--- a/crates/pimentod/src/run.rs
+++ b/crates/pimentod/src/run.rs
@@ -1,14 +1,23 @@
 //! Running the roles of the settings.
 
 use anyhow::Context;
-use pimento_control::{Control, ControlConfig, Shutdown};
+use pimento_control::{Control, ControlConfig, Propose, Shutdown};
 use pimento_entry::{Entry, Sockets};
 use pimento_link::{Key, Links};
 use pimento_log::{Event, Logger, event};
+use pimento_rules::Note;
 use pimento_settings::{Role, Settings};
-use std::{fs, path::Path};
+use pimento_state::Command;
+use std::{
+    fs,
+    path::Path,
+    time::{SystemTime, UNIX_EPOCH},
+};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// How often a note is proposed again while the group has no leader.
+const APPLY_TRIES: u32 = 5;
+
 /// The parts of a running process.
 #[derive(Debug)]
 pub struct Process {
@@ -66,6 +75,30 @@
         })
     }
 
+    /// Puts a release note in force on this VM's control group, once it has a
+    /// leader; a note that is in force already is left as it is.
+    pub async fn apply(&self, note: &Note) -> anyhow::Result<()> {
+        let replica = self
+            .replica
+            .as_ref()
+            .context("the VM has no control role")?;
+        let time = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64;
+        let command = Command::note(time, note);
+        let mut tries = 0;
+        loop {
+            match replica
+                .send(Propose {
+                    command: command.clone(),
+                })
+                .await?
+            {
+                Ok(_) => return Ok(()),
+                Err(e) if tries == APPLY_TRIES => return Err(e.into()),
+                Err(_) => tries += 1,
+            }
+        }
+    }
+
     /// Waits for the signal, or an operator's command, of a planned stop.
     pub async fn wait(&self) -> anyhow::Result<()> {
         let mut term = signal(SignalKind::terminate())?;
