Test what a replica may say before it is durable

Votes, acknowledgements, own votes, entries of an older term and early reads were covered only by rare schedules; each has a direct test now.

--- /dev/null
+++ b/crates/pimento_consensus/tests/promises.rs
@@ -0,0 +1,233 @@
+//! What a replica may say only once something else is durable or committed.
+
+use bytes::Bytes;
+use pimento_consensus::{
+    Append, AppendReply, Body, Config, Effect, Entry, Hard, Kind, Member, Members, Message, Raft,
+    Saved, Snapshot, Vote, VoteReply,
+};
+use pimento_core::{Time, VmId};
+use std::time::Duration;
+
+/// Long enough for any election timeout.
+const LONG: Duration = Duration::from_secs(3);
+
+fn vm(i: u64) -> VmId {
+    VmId::new(format!("vm{i}")).unwrap()
+}
+
+/// The data folder of a replica.
+fn instance(i: u64) -> u64 {
+    i + 10
+}
+
+fn message(from: u64, term: u64, body: Body) -> Message {
+    Message {
+        term,
+        instance: instance(from),
+        body: Some(body),
+    }
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        index,
+        term,
+        kind: Kind::Command as i32,
+        payload: Bytes::from_static(b"command"),
+    }
+}
+
+/// The first of three voters, with a log after entry 1.
+fn replica(term: u64, entries: Vec<Entry>) -> Raft {
+    let member = |i| Member {
+        vm: vm(i).into(),
+        address: String::new(),
+        instance: instance(i),
+        voter: true,
+    };
+    let snapshot = Snapshot {
+        index: 1,
+        term: 1,
+        members: Members::new((0..3).map(member).collect()),
+        data: Bytes::new(),
+    };
+    let vote = String::new();
+    let saved = Saved {
+        hard: Hard { term, vote },
+        snapshot: Some(snapshot),
+        entries,
+    };
+    let config = Config::new(vm(0), instance(0), Vec::new());
+    Raft::new(config, saved, Time::ZERO, 1).0
+}
+
+fn vote(voter: u64) -> Body {
+    Body::Vote(Vote {
+        pre: false,
+        index: 1,
+        log_term: 1,
+        voter,
+    })
+}
+
+fn sends(effects: &[Effect], wanted: impl Fn(&Body) -> bool) -> bool {
+    effects.iter().any(|effect| match effect {
+        Effect::Send { message, .. } => message.body.as_ref().is_some_and(&wanted),
+        _ => false,
+    })
+}
+
+fn granted(body: &Body) -> bool {
+    matches!(body, Body::VoteReply(reply) if reply.granted && !reply.pre)
+}
+
+fn written(effects: &[Effect]) -> u64 {
+    let seq = effects.iter().find_map(|effect| match effect {
+        Effect::Persist(write) => Some(write.seq),
+        _ => None,
+    });
+    seq.expect("a write")
+}
+
+fn applied(effects: &[Effect]) -> Vec<u64> {
+    let index = |effect: &Effect| match effect {
+        Effect::Apply(entry) => Some(entry.index),
+        _ => None,
+    };
+    effects.iter().filter_map(index).collect()
+}
+
+#[test]
+fn durable_vote() {
+    let mut raft = replica(1, Vec::new());
+    let now = Time::ZERO;
+    let effects = raft.receive(now, &vm(1), message(1, 2, vote(instance(0))));
+    assert!(!sends(&effects, granted));
+    let effects = raft.synced(now, written(&effects));
+    assert!(sends(&effects, granted));
+    // One vote a term, and the same answer to a repeated question.
+    let effects = raft.receive(now, &vm(2), message(2, 2, vote(instance(0))));
+    assert!(!sends(&effects, granted));
+    let effects = raft.receive(now, &vm(1), message(1, 2, vote(instance(0))));
+    let effects = raft.synced(now, written(&effects));
+    assert!(sends(&effects, granted));
+}
+
+#[test]
+fn lost_folder() {
+    // The candidate's members name another data folder than this one.
+    let mut raft = replica(1, Vec::new());
+    let effects = raft.receive(Time::ZERO, &vm(1), message(1, 2, vote(instance(7))));
+    assert_eq!(
+        effects
+            .iter()
+            .filter(|e| matches!(e, Effect::Persist(_)))
+            .count(),
+        0
+    );
+    assert!(!sends(&effects, granted));
+}
+
+#[test]
+fn durable_entry() {
+    let mut raft = replica(2, Vec::new());
+    let now = Time::ZERO;
+    let append = |prev, entries| {
+        let body = Body::Append(Append {
+            prev,
+            prev_term: 1,
+            commit: 1,
+            round: 1,
+            entries,
+        });
+        message(1, 2, body)
+    };
+    let acked = |index| move |body: &Body| matches!(body, Body::AppendReply(r) if r.accepted && r.index >= index);
+    let effects = raft.receive(now, &vm(1), append(1, vec![entry(2, 2)]));
+    assert!(!sends(&effects, acked(2)));
+    let seq = written(&effects);
+    // A heartbeat is answered, but for no more than what is durable.
+    let effects = raft.receive(now, &vm(1), append(1, Vec::new()));
+    assert!(sends(&effects, acked(1)));
+    assert!(!sends(&effects, acked(2)));
+    let effects = raft.synced(now, seq);
+    assert!(sends(&effects, acked(2)));
+}
+
+/// Elects the replica; its term.
+fn elect(raft: &mut Raft, now: Time) -> u64 {
+    raft.tick(now);
+    let term = raft.status().term + 1;
+    let reply = |pre| Body::VoteReply(VoteReply { pre, granted: true });
+    let effects = raft.receive(now, &vm(1), message(1, term, reply(true)));
+    let seq = written(&effects);
+    // Another vote alone decides nothing before the own one is durable.
+    let effects = raft.receive(now, &vm(1), message(1, term, reply(false)));
+    assert!(!effects.contains(&Effect::Lead));
+    let effects = raft.synced(now, seq);
+    assert!(effects.contains(&Effect::Lead));
+    let seq = written(&effects);
+    raft.synced(now, seq);
+    term
+}
+
+#[test]
+fn older_term() {
+    // An entry of an older term on a quorum may still be replaced; only one of
+    // the leader's own term commits it.
+    let mut raft = replica(3, vec![entry(2, 2)]);
+    let now = Time::ZERO + LONG;
+    let term = elect(&mut raft, now);
+    let reply = |index| {
+        let body = Body::AppendReply(AppendReply {
+            accepted: true,
+            index,
+            round: 0,
+        });
+        message(1, term, body)
+    };
+    let effects = raft.receive(now, &vm(1), reply(2));
+    assert_eq!(applied(&effects), []);
+    let effects = raft.receive(now, &vm(1), reply(3));
+    assert_eq!(applied(&effects), [2, 3]);
+}
+
+#[test]
+fn foreign_folder() {
+    // An acknowledgement from another data folder than the member's is void.
+    let mut raft = replica(3, vec![entry(2, 2)]);
+    let now = Time::ZERO + LONG;
+    let term = elect(&mut raft, now);
+    let body = Body::AppendReply(AppendReply {
+        accepted: true,
+        index: 3,
+        round: 1,
+    });
+    let mut reply = message(1, term, body);
+    reply.instance = instance(7);
+    let effects = raft.receive(now, &vm(1), reply);
+    assert_eq!(applied(&effects), []);
+}
+
+#[test]
+fn early_read() {
+    // A new leader knows what is committed only from its own first entry on.
+    let mut raft = replica(3, vec![entry(2, 2)]);
+    let now = Time::ZERO + LONG;
+    let term = elect(&mut raft, now);
+    raft.read(now, 7);
+    let reply = |index, round| {
+        let body = Body::AppendReply(AppendReply {
+            accepted: true,
+            index,
+            round,
+        });
+        message(1, term, body)
+    };
+    let ready = Effect::Ready { id: 7 };
+    let mut effects = raft.receive(now, &vm(1), reply(2, 1));
+    effects.extend(raft.receive(now, &vm(1), reply(2, 2)));
+    assert!(!effects.contains(&ready));
+    let effects = raft.receive(now, &vm(1), reply(3, 2));
+    assert!(effects.contains(&ready));
+}
