Keep a restored group from running a request twice

A claim that was granted after the backup was taken is unknown to the restored group, which would have granted it again.

--- a/crates/pimento_consensus/src/members.rs
+++ b/crates/pimento_consensus/src/members.rs
@@ -28,6 +28,10 @@
     /// Voters and learners.
     #[prost(message, repeated, tag = "1")]
     pub list: Vec<Member>,
+    /// When the group was restored from a backup, or 0; the core only carries
+    /// it, for a shell that must not trust its state on what came before.
+    #[prost(uint64, tag = "2")]
+    pub restored: u64,
 }
 
 impl Member {
@@ -47,7 +51,7 @@
     pub fn new(mut list: Vec<Member>) -> Self {
         list.sort_by(|a, b| a.vm.cmp(&b.vm));
         list.dedup_by(|a, b| a.vm == b.vm);
-        Self { list }
+        Self { list, restored: 0 }
     }
 
     /// Finds a member by name.
@@ -82,7 +86,10 @@
     pub(crate) fn with(&self, member: Member) -> Self {
         let mut list = self.list.clone();
         list.push(member);
-        Self::new(list)
+        Self {
+            restored: self.restored,
+            ..Self::new(list)
+        }
     }
 
     /// The members without one.
@@ -90,6 +97,7 @@
         let list = self.list.iter().filter(|m| m.vm != vm).cloned();
         Self {
             list: list.collect(),
+            restored: self.restored,
         }
     }
 
--- a/crates/pimento_consensus/src/raft.rs
+++ b/crates/pimento_consensus/src/raft.rs
@@ -244,6 +244,13 @@
             .unwrap_or_default()
     }
 
+    /// When the group was restored from a backup, or 0.
+    pub fn restored(&self) -> u64 {
+        self.log
+            .members()
+            .map_or(0, |(_, members)| members.restored)
+    }
+
     /// Whether this replica votes in the group that it knows.
     pub(crate) fn is_voter(&self) -> bool {
         let newest = self.log.members();
--- a/crates/pimento_consensus/tests/promises.rs
+++ b/crates/pimento_consensus/tests/promises.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use pimento_consensus::{
-    Append, AppendReply, Body, Config, Effect, Entry, Hard, Kind, Member, Members, Message, Raft,
-    Saved, Snapshot, Vote, VoteReply,
+    Append, AppendReply, Body, Change, Config, Effect, Entry, Hard, Kind, Member, Members, Message,
+    Raft, Saved, Snapshot, Vote, VoteReply,
 };
 use pimento_core::{Time, VmId};
 use std::time::Duration;
@@ -231,3 +231,56 @@
     let effects = raft.receive(now, &vm(1), reply(3, 2));
     assert!(effects.contains(&ready));
 }
+
+#[test]
+fn replaced_entries() {
+    // What was durable before a new leader's entries took its place is not.
+    let mut raft = replica(2, vec![entry(2, 2), entry(3, 2)]);
+    let now = Time::ZERO;
+    let append = |entries| {
+        let body = Body::Append(Append {
+            prev: 1,
+            prev_term: 1,
+            commit: 1,
+            round: 1,
+            entries,
+        });
+        message(1, 3, body)
+    };
+    let acked = |body: &Body| matches!(body, Body::AppendReply(r) if r.accepted && r.index > 1);
+    let effects = raft.receive(now, &vm(1), append(vec![entry(2, 3), entry(3, 3)]));
+    assert!(!sends(&effects, acked));
+    let seq = written(&effects);
+    let effects = raft.receive(now, &vm(1), append(Vec::new()));
+    assert!(!sends(&effects, acked));
+    let effects = raft.synced(now, seq);
+    assert!(sends(&effects, acked));
+}
+
+#[test]
+fn early_change() {
+    // A change before an entry of the own term is committed could overlap
+    // with one of an older leader.
+    let mut raft = replica(3, vec![entry(2, 2)]);
+    let now = Time::ZERO + LONG;
+    let term = elect(&mut raft, now);
+    let add = Change::Add {
+        vm: vm(3),
+        address: String::new(),
+    };
+    let refused = |effects: &[Effect]| {
+        effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::Reject { .. }))
+    };
+    let effects = raft.change(now, 1, add.clone());
+    assert!(refused(&effects));
+    let body = Body::AppendReply(AppendReply {
+        accepted: true,
+        index: 3,
+        round: 0,
+    });
+    raft.receive(now, &vm(1), message(1, term, body));
+    let effects = raft.change(now, 2, add);
+    assert!(!refused(&effects));
+}
--- a/crates/pimento_control/src/backup.rs
+++ b/crates/pimento_control/src/backup.rs
@@ -9,7 +9,7 @@
 use pimento_state::State;
 use pimento_storage::{Folder, Store};
 use prost::Message as _;
-use std::path::Path;
+use std::{path::Path, time::SystemTime};
 
 /// What a backup file holds.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -42,7 +42,8 @@
 /// from it and takes the other control VMs in.
 ///
 /// The others must begin with empty folders, and no VM of the old group may
-/// come back. What the old group had accepted after the backup is lost; see
+/// come back. What the old group had accepted after the backup is lost; so the
+/// new one grants no claim whose key is older than the restore. See
 /// `docs/ops/control.md`.
 ///
 /// # Errors
@@ -69,6 +70,7 @@
     );
     let identity = Identity::new(vm);
     snapshot.members = founders(vm, peers, identity.instance)?;
+    snapshot.members.restored = unix_millis()?;
     let restored = Restored {
         index: snapshot.index,
         rules: state.rules().version,
@@ -86,6 +88,13 @@
     Ok(restored)
 }
 
+/// The wall-clock time, in milliseconds since the Unix epoch.
+fn unix_millis() -> anyhow::Result<u64> {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let now = now.context("the clock is before 1970")?;
+    Ok(now.as_millis() as u64)
+}
+
 /// The members of a new group: this VM votes, the others catch up first.
 fn founders(vm: &VmId, peers: &[Peer], instance: u64) -> anyhow::Result<Members> {
     let mut members = Members::new(learners(peers));
--- a/crates/pimento_control/src/handlers.rs
+++ b/crates/pimento_control/src/handlers.rs
@@ -39,8 +39,11 @@
     }
 
     fn propose(&mut self, payload: Bytes, done: Done, ctx: &mut Context<Self>) {
-        if Command::decode(payload.clone()).is_err() {
+        let Ok(command) = Command::decode(payload.clone()) else {
             return done.send(ControlError::not_run(Fault::Malformed));
+        };
+        if let Some(answer) = self.fenced(&command) {
+            return done.send(answer);
         }
         self.serial += 1;
         let id = self.serial;
--- a/crates/pimento_control/src/lib.rs
+++ b/crates/pimento_control/src/lib.rs
@@ -10,6 +10,7 @@
 mod client;
 mod disk;
 mod error;
+mod fence;
 mod handlers;
 mod look;
 mod messages;
--- /dev/null
+++ b/crates/pimento_control/tests/support/claims.rs
@@ -0,0 +1,77 @@
+//! Claims as an entry VM proposes them.
+
+use pimento_state::{
+    Command, Effect, Op, Outcome,
+    ledger::{Answer, Claim, Finish, Free, Holder, Kind, Slot, fingerprint},
+};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// The wall-clock time, in milliseconds since the Unix epoch.
+pub fn now() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    now.as_millis() as u64
+}
+
+/// A key that was made at a time.
+pub fn slot(time: u64, number: u8) -> Slot {
+    let mut key = time.to_be_bytes()[2..].to_vec();
+    key.extend([0x70, 0, 0x80, 0, 0, 0, 0, 0, 0, number]);
+    Slot {
+        key,
+        tenant: "armor".into(),
+        service: "allowances".into(),
+    }
+}
+
+fn holder(attempt: u64) -> Holder {
+    let vm = "entry-1".into();
+    let instance = 1;
+    Holder {
+        vm,
+        instance,
+        attempt,
+    }
+}
+
+pub fn claim(slot: &Slot, attempt: u64) -> Command {
+    let claim = Claim {
+        slot: Some(slot.clone()),
+        fingerprint: fingerprint("POST", "/allowances/7", &[0; 32], b"clerk").to_vec(),
+        resource: None,
+        limit: 0,
+        holder: Some(holder(attempt)),
+        timeout: 60_000,
+    };
+    Command::new(now(), Op::Claim(claim))
+}
+
+pub fn free(slot: &Slot, attempt: u64) -> Command {
+    let slot = Some(slot.clone());
+    let holder = Some(holder(attempt));
+    Command::new(now(), Op::Free(Free { slot, holder }))
+}
+
+pub fn answer() -> Answer {
+    Answer {
+        status: 201,
+        headers: Vec::new(),
+        body: b"paid".to_vec(),
+    }
+}
+
+pub fn done(slot: &Slot, attempt: u64) -> Command {
+    let finish = Finish {
+        slot: Some(slot.clone()),
+        holder: Some(holder(attempt)),
+        answer: Some(answer()),
+    };
+    Command::new(now(), Op::Finish(finish))
+}
+
+/// What an operation of the ledger did.
+pub fn kind(outcome: Outcome) -> Kind {
+    match outcome.effect {
+        Some(Effect::Ledger(outcome)) => outcome.kind.unwrap(),
+        other => panic!("{other:?}"),
+    }
+}
--- a/crates/pimento_control/tests/support/mod.rs
+++ b/crates/pimento_control/tests/support/mod.rs
@@ -1,11 +1,18 @@
 //! Control VMs over loopback links, which can be stopped and started again.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub mod claims;
+
 use actix::prelude::*;
 use pimento_control::{Control, ControlClient, ControlConfig, ControlStatus, GetStatus, Shutdown};
 use pimento_core::VmId;
 use pimento_link::{Key, Links};
 use pimento_settings::Peer;
-use std::{net::TcpListener, time::Duration};
+use std::{
+    net::{SocketAddr, TcpListener},
+    time::Duration,
+};
 
 /// The longest wait for a group to settle.
 const LIMIT: Duration = Duration::from_secs(20);
@@ -44,7 +51,7 @@
         let (vm, address) = (self.peers[i].vm.clone(), self.peers[i].address);
         let (sender, receiver) = std::sync::mpsc::channel();
         arbiter.spawn_fn(move || {
-            let listener = TcpListener::bind(address).unwrap();
+            let listener = bind(address);
             let key = Key::new("secret");
             let links = Links::start(vm, key, listener, pimento_log::discard());
             sender.send(links.unwrap()).unwrap();
@@ -112,3 +119,15 @@
         actix_rt::time::timeout(LIMIT, wait).await.unwrap()
     }
 }
+
+/// Binds an address again, which an outgoing connection of another test may
+/// hold as its own for a while.
+fn bind(address: SocketAddr) -> TcpListener {
+    for _ in 0..500 {
+        if let Ok(listener) = TcpListener::bind(address) {
+            return listener;
+        }
+        std::thread::sleep(PAUSE);
+    }
+    TcpListener::bind(address).unwrap()
+}
