--- a/crates/pimento_rules/src/book.rs
+++ b/crates/pimento_rules/src/book.rs
@@ -97,7 +97,7 @@
         let bytes = note.encode();
         let digest = Digest::of(&bytes);
         let expected = self.version().saturating_add(1);
-        if note.number < expected {
+        if note.number <= self.version() {
             return self.known(note.number, digest);
         }
         if note.number > expected {
--- a/crates/pimento_rules/src/follower.rs
+++ b/crates/pimento_rules/src/follower.rs
@@ -1,6 +1,6 @@
 //! Keeping a VM's rules in step with the control group.
 
-use crate::{Note, NoteBook, NoteError, Offer, Page, Rules, RulesPull, RulesPush, push::MAX_PAGES};
+use crate::{NoteBook, NoteError, Offer, Page, Rules, RulesPull, RulesPush, push::MAX_PAGES};
 use std::sync::Arc;
 
 /// What a push did.
@@ -97,11 +97,8 @@
         })
     }
 
+    /// Takes a note if it is the next one; the book ignores any other.
     fn take_note(&mut self, bytes: &[u8]) -> Result<(), NoteError> {
-        let number = Note::decode(bytes)?.number;
-        if number != self.version() + 1 {
-            return Ok(());
-        }
         match self.book.offer(0, bytes) {
             Offer::Refused(e) => Err(e),
             _ => Ok(()),
--- a/crates/pimento_rules/src/snapshot.rs
+++ b/crates/pimento_rules/src/snapshot.rs
@@ -60,7 +60,7 @@
         if digests.len() != self.times.len() || !rest.is_empty() {
             return None;
         }
-        let numbers = self.oldest..;
+        let numbers = self.oldest..self.oldest.checked_add(digests.len() as u64)?;
         let all = numbers.zip(digests).zip(&self.times);
         let record = |((number, digest), time): ((u64, &[u8; Digest::LEN]), &u64)| {
             let digest = Digest::from_slice(digest)?;
--- a/crates/pimento_rules/tests/blocks.rs
+++ b/crates/pimento_rules/tests/blocks.rs
@@ -3,11 +3,15 @@
 use bolero::check;
 use ipnet::IpNet;
 use pimento_rules::{Block, Blocks, Domain, Items, Note, Region, Rules, Withdrawn};
+use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
 use std::{
     collections::BTreeMap,
     net::{IpAddr, Ipv4Addr, Ipv6Addr},
 };
 
+/// Histories in the fixed set.
+const SEEDS: u64 = 200;
+
 fn net(seed: u32) -> IpNet {
     let len = (8 + seed % 21) as u8;
     let addr = if seed.is_multiple_of(5) {
@@ -88,27 +92,33 @@
     holding.max_by_key(|block| block.net.prefix_len())
 }
 
+fn compare(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut rules = start();
+    let mut model = BTreeMap::new();
+    for number in 2..8 {
+        let len = rng.random_range(0..60);
+        let pick = |_| (rng.random_range(0..200), rng.random());
+        let picks: Vec<(u32, u8)> = (0..len).map(pick).collect();
+        let note = step(&mut model, &picks, number);
+        let note = Note::decode(&note.encode()).expect("a note decodes");
+        rules = rules.apply(&note).expect("the note is valid");
+        assert!(rules.blocks.iter().eq(model.values()));
+        assert_eq!(rules.blocks.len(), model.len());
+        for (seed, _) in picks {
+            let ip = net(seed).addr();
+            assert_eq!(rules.blocks.locate(ip), longest(&model, ip));
+            let near = IpAddr::V4(Ipv4Addr::from(seed.wrapping_mul(0x0101_0113)));
+            assert_eq!(rules.blocks.locate(near), longest(&model, near));
+        }
+    }
+}
+
 #[test]
 fn same_as_model() {
-    check!()
-        .with_type::<Vec<Vec<(u32, u8)>>>()
-        .for_each(|notes| {
-            let mut rules = start();
-            let mut model = BTreeMap::new();
-            for (picks, number) in notes.iter().zip(2..) {
-                let note = step(&mut model, picks, number);
-                let note = Note::decode(&note.encode()).expect("a note decodes");
-                rules = rules.apply(&note).expect("the note is valid");
-                assert!(rules.blocks.iter().eq(model.values()));
-                assert_eq!(rules.blocks.len(), model.len());
-                for (seed, _) in picks {
-                    let ip = net(*seed).addr();
-                    assert_eq!(rules.blocks.locate(ip), longest(&model, ip));
-                    let near = IpAddr::V4(Ipv4Addr::from(*seed));
-                    assert_eq!(rules.blocks.locate(near), longest(&model, near));
-                }
-            }
-        });
+    (0..SEEDS).for_each(compare);
+    let check = check!().with_type::<u64>();
+    check.with_iterations(50).for_each(|seed| compare(*seed));
 }
 
 #[test]
@@ -129,6 +139,33 @@
         rules = rules.apply(&note).expect("the note is valid");
     }
     assert_eq!(rules.blocks, Blocks::from(all.clone()));
+    let mut withdrawn = Vec::new();
+    let mut changed = Vec::new();
+    let mut left = Vec::new();
+    for (i, old) in all.iter().enumerate() {
+        if i % 256 == 0 {
+            withdrawn.push(old.net);
+        } else if i % 128 == 1 {
+            changed.push(block(old.net, i + 1));
+            left.push(block(old.net, i + 1));
+        } else {
+            left.push(old.clone());
+        }
+    }
+    let note = Note {
+        number: rules.version + 1,
+        changed: Items {
+            blocks: changed,
+            ..Items::default()
+        },
+        withdrawn: Withdrawn {
+            blocks: withdrawn,
+            ..Withdrawn::default()
+        },
+        ..Note::default()
+    };
+    let edited = rules.apply(&note).expect("the note is valid");
+    assert_eq!(edited.blocks, Blocks::from(left));
     let found = rules
         .blocks
         .locate("0.3.7.200".parse().expect("an address"));
--- a/crates/pimento_rules/tests/decode.rs
+++ b/crates/pimento_rules/tests/decode.rs
@@ -1,7 +1,8 @@
 //! Decoders refuse whatever is not theirs, and never panic.
 
 use bolero::check;
-use pimento_rules::{Follower, Note, NoteBook, Page, Rules, RulesPush};
+use pimento_rules::{Follower, Note, NoteBook, Page, Rules, RulesPush, Step};
+use prost::Message as _;
 
 const NOTE: &str = "
 number: 1
@@ -22,7 +23,8 @@
 
 #[test]
 fn any_text() {
-    check!().with_type::<String>().for_each(|text| {
+    let check = check!().with_type::<String>().with_iterations(500);
+    check.for_each(|text| {
         let noted = format!("number: 1\nadded: {text}");
         drop(Note::parse(text));
         drop(Note::parse(&noted));
@@ -31,7 +33,8 @@
 
 #[test]
 fn any_bytes() {
-    check!().with_type::<Vec<u8>>().for_each(|bytes| {
+    let check = check!().with_type::<Vec<u8>>().with_iterations(500);
+    check.for_each(|bytes| {
         drop(Note::decode(bytes));
         drop(NoteBook::restore(bytes));
         let page = Page {
@@ -65,15 +68,62 @@
 fn damaged_bytes() {
     let note = Note::parse(NOTE).expect("the note is well formed").encode();
     let snapshot = book().snapshot();
-    check!().with_type::<(usize, u8)>().for_each(|(at, byte)| {
-        if let Ok(note) = Note::decode(&damage(&note, *at, *byte)) {
+    let check = |at: usize, byte: u8| {
+        if let Ok(note) = Note::decode(&damage(&note, at, byte)) {
             drop(Rules::default().apply(&note));
         }
-        if let Ok(book) = NoteBook::restore(&damage(&snapshot, *at, *byte)) {
+        if let Ok(book) = NoteBook::restore(&damage(&snapshot, at, byte)) {
             let again = NoteBook::restore(&book.snapshot());
             assert_eq!(again.as_ref(), Ok(&book));
         }
-    });
+    };
+    for at in 0..snapshot.len() {
+        (0..=u8::MAX).step_by(5).for_each(|byte| check(at, byte));
+    }
+    let any = check!().with_type::<(usize, u8)>().with_iterations(500);
+    any.for_each(|(at, byte)| check(*at, *byte));
+}
+
+/// The numbers of a snapshot that no book has made.
+#[derive(Clone, PartialEq, prost::Message)]
+struct Forged {
+    #[prost(uint64, tag = "1")]
+    base: u64,
+    #[prost(uint64, tag = "4")]
+    oldest: u64,
+    #[prost(bytes = "vec", tag = "5")]
+    digests: Vec<u8>,
+    #[prost(uint64, repeated, tag = "6")]
+    times: Vec<u64>,
+}
+
+#[test]
+fn largest_numbers() {
+    let forged = Forged {
+        base: u64::MAX,
+        oldest: u64::MAX,
+        digests: vec![0; 32],
+        times: vec![0],
+    };
+    NoteBook::restore(&forged.encode_to_vec()).expect_err("no number follows the last");
+    let page = Page {
+        version: u64::MAX,
+        index: 0,
+        count: 1,
+        body: Vec::new(),
+    };
+    let note = Note {
+        number: u64::MAX,
+        ..Note::default()
+    };
+    let push = RulesPush {
+        version: u64::MAX,
+        notes: vec![note.encode()],
+        page: Some(page),
+    };
+    let mut follower = Follower::default();
+    let step = follower.receive(&push);
+    assert_eq!(step, Ok(Step::Applied(u64::MAX)));
 }
 
 #[test]
--- a/crates/pimento_rules/tests/follow.rs
+++ b/crates/pimento_rules/tests/follow.rs
@@ -1,7 +1,16 @@
 //! Followers go forward only, whatever the network does to pushes.
 
 use bolero::check;
-use pimento_rules::{Follower, Items, Note, NoteBook, Offer, Region, Rules, RulesPush, Step};
+use ipnet::IpNet;
+use pimento_rules::{
+    Block, Domain, Follower, Items, Note, NoteBook, Offer, Region, Rules, RulesPull, RulesPush,
+    Step,
+};
+use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
+use std::net::Ipv4Addr;
+
+/// Schedules in the fixed set.
+const SEEDS: u64 = 200;
 
 /// The notes that the compaction of a book surely has passed.
 const MANY: u64 = 1_100;
@@ -63,11 +72,12 @@
         sent.push(book.delta(have));
         sent.push(book.delta(have / 2));
     }
-    check!().with_type::<Vec<u8>>().for_each(|order| {
+    let pushes = |seed: u64| {
+        let mut rng = StdRng::seed_from_u64(seed);
         let mut follower = Follower::default();
-        for pick in order {
+        for _ in 0..rng.random_range(0..30) {
             let before = follower.version();
-            let push = &sent[usize::from(*pick) % sent.len()];
+            let push = &sent[rng.random_range(0..sent.len())];
             follower.receive(push).expect("the push is whole");
             let now = follower.version();
             assert!(now >= before, "{before} went back to {now}");
@@ -76,7 +86,10 @@
         }
         catch_up(&mut follower, &book);
         assert_eq!(follower.rules(), *book.rules());
-    });
+    };
+    (0..SEEDS).for_each(pushes);
+    let check = check!().with_type::<u64>();
+    check.with_iterations(50).for_each(|seed| pushes(*seed));
 }
 
 #[test]
@@ -116,3 +129,57 @@
     follower.receive(&push).expect_err("a note is cut short");
     assert_eq!(*follower.rules(), expected(1));
 }
+
+/// Rules with enough blocks for several pages.
+fn large(version: u64) -> Rules {
+    let domain = Domain {
+        name: "d".parse().expect("a valid name"),
+        region: "region-1".parse().expect("a valid name"),
+    };
+    let block = |n: u32| Block {
+        net: IpNet::new(Ipv4Addr::from(n << 8).into(), 24).expect("the length fits"),
+        domain: domain.name.clone(),
+    };
+    Rules {
+        version,
+        regions: vec![region(1)],
+        domains: vec![domain.clone()],
+        blocks: (0..80_000).map(block).collect(),
+        ..Rules::default()
+    }
+}
+
+#[test]
+fn pages_in_any_order() {
+    let older = NoteBook::from_base(large(7));
+    let newer = NoteBook::from_base(large(9));
+    let page = |book: &NoteBook, page| {
+        let partial = book.version();
+        let have = 0;
+        book.answer(&RulesPull {
+            have,
+            partial,
+            page,
+        })
+    };
+    let count = page(&newer, 0).page.expect("a page").count;
+    assert!(count > 2, "only {count} pages");
+    for seed in 0..40 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut follower = Follower::default();
+        for _ in 0..12 {
+            let book = if rng.random_bool(0.5) { &older } else { &newer };
+            let push = page(book, rng.random_range(0..count));
+            let before = follower.version();
+            follower.receive(&push).expect("the page is whole");
+            let now = follower.version();
+            assert!(now >= before, "{before} went back to {now}");
+        }
+        catch_up(&mut follower, &newer);
+        assert_eq!(follower.rules(), *newer.rules());
+        for index in 0..count {
+            follower.receive(&page(&older, index)).expect("a late page");
+        }
+        assert_eq!(follower.version(), 9);
+    }
+}
--- /dev/null
+++ b/crates/pimento_state/tests/decode.rs
@@ -0,0 +1,108 @@
+//! Damaged commands and snapshots are refused or harmless.
+
+use bolero::check;
+use pimento_rules::Note;
+use pimento_state::{
+    Command, Op, State,
+    ledger::{Claim, Holder, Slot},
+};
+use prost::Message as _;
+
+fn claim() -> Claim {
+    let mut key = 1_800_000_000_000_u64.to_be_bytes()[2..].to_vec();
+    key.extend([0x70, 0, 0x80, 0, 0, 0, 0, 0, 0, 1]);
+    Claim {
+        slot: Some(Slot {
+            key,
+            tenant: "t".into(),
+            service: "s".into(),
+        }),
+        fingerprint: vec![3; 32],
+        resource: Some("shift".into()),
+        limit: 2,
+        holder: Some(Holder {
+            vm: "entry".into(),
+            instance: 1,
+            attempt: 1,
+        }),
+        timeout: 1_000,
+    }
+}
+
+fn commands() -> [Command; 2] {
+    let text = "number: 1\nadded: {regions: [{name: a}]}";
+    let note = Note::parse(text).expect("the note is well formed");
+    let time = 1_800_000_000_000;
+    [
+        Command::note(time, &note),
+        Command::new(time, Op::Claim(claim())),
+    ]
+}
+
+fn state() -> State {
+    let mut state = State::default();
+    for (command, index) in commands().iter().zip(1..) {
+        state.apply(index, command);
+    }
+    state
+}
+
+#[test]
+fn any_bytes() {
+    let check = check!().with_type::<Vec<u8>>().with_iterations(500);
+    check.for_each(|bytes| {
+        drop(State::restore(bytes));
+        if let Ok(command) = Command::decode(bytes.as_slice()) {
+            state().apply(3, &command);
+        }
+        state().apply(3, &Command::new(0, Op::Note(bytes.clone())));
+    });
+}
+
+#[test]
+fn damaged_commands() {
+    for command in commands() {
+        let whole = command.encode_to_vec();
+        for at in 0..whole.len() {
+            for bit in 0..u8::BITS {
+                let mut bytes = whole.clone();
+                bytes[at] ^= 1 << bit;
+                let Ok(command) = Command::decode(bytes.as_slice()) else {
+                    continue;
+                };
+                let mut one = State::default();
+                let mut other = State::default();
+                assert_eq!(one.apply(1, &command), other.apply(1, &command));
+                assert_eq!(one, other);
+                let restored = State::restore(&one.snapshot()).expect("a snapshot");
+                assert_eq!(restored, one);
+            }
+        }
+    }
+}
+
+#[test]
+fn damaged_snapshot() {
+    let whole = state().snapshot();
+    for at in 0..whole.len() {
+        drop(State::restore(&whole[..at]));
+        for bit in 0..u8::BITS {
+            let mut bytes = whole.clone();
+            bytes[at] ^= 1 << bit;
+            if let Ok(state) = State::restore(&bytes) {
+                let again = State::restore(&state.snapshot()).expect("a snapshot");
+                assert_eq!(again, state);
+            }
+        }
+    }
+}
+
+#[test]
+fn whole_snapshot() {
+    let state = state();
+    let restored = State::restore(&state.snapshot()).expect("a snapshot");
+    assert_eq!(restored, state);
+    let slot = claim().slot.expect("the claim has a slot");
+    assert!(restored.claim("t", "s", &slot.key).is_some());
+    assert!(restored.claim("other", "s", &slot.key).is_none());
+}
