--- a/crates/pimento_admit/src/admit.rs
+++ b/crates/pimento_admit/src/admit.rs
@@ -132,7 +132,7 @@
         }
         let linger = self.config.linger;
         match ending {
-            Ending::Ok { .. } | Ending::Shed => self.release(r),
+            Ending::Ok { .. } | Ending::Shed | Ending::Unreachable => self.release(r),
             Ending::Failed | Ending::Cancelled => self.running[r].until = Some(now + linger),
             Ending::Silent => {
                 let until = self.running[r].deadline.max(now) + linger;
--- a/crates/pimento_admit/src/limit.rs
+++ b/crates/pimento_admit/src/limit.rs
@@ -62,8 +62,12 @@
         self.value = (base * config.shed_factor).max(1.0);
     }
 
-    /// Offers nothing for a while, twice as long at each repetition.
+    /// Offers nothing for a while, twice as long at each repetition; failures
+    /// of requests that were under way meanwhile add nothing.
     pub(crate) fn hold(&mut self, now: Time, config: &AdmitConfig) {
+        if now < self.resume {
+            return;
+        }
         self.resume = now + self.pause;
         self.pause = (self.pause * 2).min(config.pause_max);
     }
--- a/crates/pimento_admit/src/request.rs
+++ b/crates/pimento_admit/src/request.rs
@@ -36,6 +36,10 @@
     },
     /// The target refused the request before running it, and said so.
     Shed,
+    /// No connection could be opened, so nothing was sent. The target is left
+    /// alone for a moment: it fails faster than others answer, and would draw
+    /// ever more requests.
+    Unreachable,
     /// The connection failed, or the target answered with a fault of its own.
     Failed,
     /// Nothing came in time; the target may still be running the request, so
--- a/crates/pimento_admit/src/service.rs
+++ b/crates/pimento_admit/src/service.rs
@@ -99,6 +99,11 @@
         self.latency.mean(now, config.half_life)
     }
 
+    /// How long few requests exceed at a target.
+    fn longest(&self, now: Time, config: &AdmitConfig) -> Duration {
+        self.latency.high(now, config.half_life)
+    }
+
     /// Whether a request of the class may take one of the free slots.
     fn open_to(&self, class: Class, room: Room, config: &AdmitConfig) -> bool {
         if room.free == 0 {
@@ -165,8 +170,8 @@
         if !self.reachable(now, &request) {
             return Decision::Refuse(Reason::NoTarget);
         }
-        let expected = self.expected(now, config);
-        if now + expected >= request.deadline {
+        let longest = self.longest(now, config);
+        if now + longest >= request.deadline {
             return Decision::Refuse(Reason::Deadline);
         }
         let room = self.room(now, config);
@@ -191,8 +196,8 @@
             return Decision::Refuse(Reason::Reserve);
         }
         let rounds = (ahead as f64 + 1.0) / f64::from(room.offered);
-        let wait = expected.mul_f64(rounds);
-        if now + wait + expected > request.deadline {
+        let wait = self.expected(now, config).mul_f64(rounds);
+        if now + wait + longest > request.deadline {
             return Decision::Refuse(Reason::Deadline);
         }
         if wait > Duration::from_millis(u64::from(request.queue.wait)) {
@@ -217,8 +222,8 @@
         if self.queue.len() == 0 {
             return Vec::new();
         }
-        let expected = self.expected(now, config);
-        let late = |item: &Waiting| now + expected >= item.request.deadline;
+        let longest = self.longest(now, config);
+        let late = |item: &Waiting| now + longest >= item.request.deadline;
         let mut effects = refusals(self.queue.drain(late), Reason::Deadline);
         let old = self.queue.drain(|item| item.expiry() <= now);
         effects.extend(refusals(old, Reason::QueueWait));
@@ -265,6 +270,10 @@
                 self.latency.add(now, latency);
             }
             Ending::Shed => target.limit.cut(now, used, config),
+            Ending::Unreachable => {
+                target.health.failed();
+                target.limit.hold(now, config);
+            }
             Ending::Failed | Ending::Silent => target.health.failed(),
             Ending::Cancelled => return,
         }
--- a/crates/pimento_admit/tests/limits.rs
+++ b/crates/pimento_admit/tests/limits.rs
@@ -193,3 +193,19 @@
         assert_eq!(started(&admit.submit(at(0), request(id, 5_000))), [id]);
     }
 }
+
+#[test]
+fn unreachable_target() {
+    let mut admit = admit(1);
+    let mut tries = 0;
+    for id in 0..1_000 {
+        let now = id * 10;
+        let effects = admit.submit(at(now), request(id, now + 5_000));
+        tries += started(&effects).len();
+        admit.finish(at(now), id, Ending::Unreachable);
+    }
+    assert!((5..=20).contains(&tries), "{tries} tries in ten seconds");
+    // It is found again within the longest pause.
+    run(&mut admit, 5_000, 11_000, ok(20));
+    assert_eq!(slots(&admit, 11_001), 3);
+}
--- a/crates/pimento_admit/tests/slots.rs
+++ b/crates/pimento_admit/tests/slots.rs
@@ -63,8 +63,9 @@
     }
     let i = rng.random_range(0..truth.runs.len());
     let id = truth.runs[i].0;
-    let ending = match rng.random_range(0..6) {
+    let ending = match rng.random_range(0..7) {
         0 => Ending::Shed,
+        6 => Ending::Unreachable,
         1 => Ending::Failed,
         2 => Ending::Silent,
         3 => Ending::Cancelled,
@@ -73,7 +74,7 @@
         },
     };
     match ending {
-        Ending::Ok { .. } | Ending::Shed => truth.runs[i].2 = now,
+        Ending::Ok { .. } | Ending::Shed | Ending::Unreachable => truth.runs[i].2 = now,
         Ending::Failed | Ending::Cancelled => {
             let heard = now + Duration::from_millis(10);
             truth.runs[i].2 = truth.runs[i].2.min(heard);
--- a/crates/pimento_bench/benches/policy.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! The policy bench.
-
-fn main() {}
--- a/crates/pimento_steer/src/attempts.rs
+++ b/crates/pimento_steer/src/attempts.rs
@@ -9,9 +9,14 @@
 const BACKOFF: Duration = Duration::from_millis(10);
 /// The longest delay before any retry.
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
-/// The most refusals by entry VMs that one request is moved on after. They
+/// The refusals by entry VMs after which a request is moved on at once. They
 /// cost no target anything, so the retry budget doesn't count them.
 const MAX_MOVES: u8 = 3;
+/// The rounds of such moves for a critical request, each after a longer delay:
+/// what was full or away may be back long before the deadline.
+const MAX_ROUNDS: u8 = 4;
+/// The longest delay before the second round; doubles with each that follows.
+const ROUND: Duration = Duration::from_millis(50);
 
 /// How an attempt failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -75,6 +80,7 @@
     deadline: Time,
     count: u8,
     moves: u8,
+    rounds: u8,
     hedged: bool,
     worst: Verdict,
     targets: Vec<TargetId>,
@@ -98,6 +104,7 @@
             deadline,
             count: 1,
             moves: 0,
+            rounds: 0,
             hedged: false,
             worst: Verdict::NotRun,
             targets: Vec::new(),
@@ -144,11 +151,14 @@
         if !self.repeatable && !verdict.allows_resend() {
             return give_up;
         }
-        let after = self.delay(failure, rng);
+        if let Failure::Refused { .. } = failure {
+            return self.move_on(now, expected, rng).unwrap_or(give_up);
+        }
+        let after = self.delay(rng);
         if now + after + expected >= self.deadline {
             return give_up;
         }
-        if !self.affords(now, failure, budget) {
+        if !self.affords(now, budget) {
             return give_up;
         }
         Next::Retry { after }
@@ -171,23 +181,32 @@
         }
     }
 
-    /// A random delay, so that retries of many requests don't come together. A
-    /// refusal by an entry VM cost no target anything, and is moved on at once.
-    fn delay(&self, failure: &Failure, rng: &mut impl Rng) -> Duration {
-        if matches!(failure, Failure::Refused { .. }) {
-            return Duration::ZERO;
+    /// Moves on after a refusal by an entry VM: at once, and after a few
+    /// refusals only for critical requests and after a delay. VMs that refused
+    /// may then be asked again, since no target had an attempt.
+    fn move_on(&mut self, now: Time, expected: Duration, rng: &mut impl Rng) -> Option<Next> {
+        self.moves += 1;
+        let mut after = Duration::ZERO;
+        if self.moves > MAX_MOVES {
+            if self.class != Class::Critical || self.rounds + 1 >= MAX_ROUNDS {
+                return None;
+            }
+            after = jittered(ROUND * 2_u32.pow(u32::from(self.rounds)), rng);
+            self.rounds += 1;
+            self.moves = 0;
+            self.vms.clear();
         }
+        (now + after + expected < self.deadline).then_some(Next::Retry { after })
+    }
+
+    /// The delay before another attempt at a target.
+    fn delay(&self, rng: &mut impl Rng) -> Duration {
         let doublings = u32::from(self.count.saturating_sub(1)).min(8);
-        let longest = (BACKOFF * 2_u32.pow(doublings)).min(MAX_BACKOFF);
-        longest.mul_f64(rng.random_range(0.5..1.0))
+        jittered((BACKOFF * 2_u32.pow(doublings)).min(MAX_BACKOFF), rng)
     }
 
     /// Takes another attempt from the bounds that apply to it.
-    fn affords(&mut self, now: Time, failure: &Failure, budget: &mut RetryBudget) -> bool {
-        if matches!(failure, Failure::Refused { .. }) {
-            self.moves += 1;
-            return self.moves <= MAX_MOVES;
-        }
+    fn affords(&mut self, now: Time, budget: &mut RetryBudget) -> bool {
         if self.count >= self.rule.attempts {
             return false;
         }
@@ -219,3 +238,9 @@
         true
     }
 }
+
+/// A random part of a delay, so that retries of many requests don't come
+/// together.
+fn jittered(longest: Duration, rng: &mut impl Rng) -> Duration {
+    longest.mul_f64(rng.random_range(0.5..1.0))
+}
--- a/crates/pimento_steer/src/place.rs
+++ b/crates/pimento_steer/src/place.rs
@@ -1,6 +1,6 @@
 //! What this VM has sent to each other place for each service.
 
-use crate::{SteerConfig, growth::Growth};
+use crate::{Outcome, SteerConfig, growth::Growth};
 use pimento_admit::Headroom;
 use pimento_core::prelude::*;
 
@@ -15,8 +15,19 @@
     pub(crate) growth: Growth,
     /// When the place last refused a request.
     refused: Option<Time>,
+    /// Failures since the last answer or refusal.
+    fails: u32,
+    /// Nothing is sent there before this time.
+    resume: Time,
 }
 
+/// Failures in a row after which a place is left alone for a while.
+const MAX_FAILS: u32 = 2;
+/// The first such while; doubles with each failure that follows.
+const PAUSE: Duration = Duration::from_millis(500);
+/// The longest such while.
+const MAX_PAUSE: Duration = Duration::from_secs(4);
+
 impl Place {
     pub(crate) fn new(now: Time, name: &str, service: &ServiceId, floor: f64) -> Self {
         Self {
@@ -25,12 +36,14 @@
             sent: Vec::new(),
             growth: Growth::new(now, floor),
             refused: None,
+            fails: 0,
+            resume: Time::ZERO,
         }
     }
 
     /// Whether anything of the place needs to be remembered.
     pub(crate) fn in_use(&self, now: Time) -> bool {
-        !self.sent.is_empty() || self.growth.recent(now)
+        !self.sent.is_empty() || self.fails > 0 || self.growth.recent(now)
     }
 
     pub(crate) fn begin(&mut self, now: Time) {
@@ -38,16 +51,38 @@
         self.growth.count();
     }
 
-    pub(crate) fn end(&mut self, now: Time, refused: bool) {
+    /// Ends a request; `outcome` tells whether the place is there at all.
+    pub(crate) fn end(&mut self, now: Time, outcome: Outcome) {
         if !self.sent.is_empty() {
             self.sent.remove(0);
         }
-        if refused {
-            self.refused = Some(now);
-            self.growth.cut(now);
+        match outcome {
+            Outcome::Answered { .. } => self.fails = 0,
+            Outcome::Refused => {
+                self.fails = 0;
+                self.refused = Some(now);
+                self.growth.cut(now);
+            }
+            Outcome::Failed { .. } => self.failed(now),
         }
     }
 
+    /// Leaves a place alone that failed repeatedly, since what is known of it
+    /// may be old.
+    fn failed(&mut self, now: Time) {
+        self.fails = self.fails.saturating_add(1);
+        let Some(more) = self.fails.checked_sub(MAX_FAILS) else {
+            return;
+        };
+        let pause = PAUSE * 2_u32.pow(more.min(3));
+        self.resume = now + pause.min(MAX_PAUSE);
+    }
+
+    /// Whether the place is left alone.
+    pub(crate) fn paused(&self, now: Time) -> bool {
+        now < self.resume
+    }
+
     /// The requests under way that the headroom does not contain yet: those
     /// sent less than a round trip before it came.
     fn unseen(&self, came: Time, trip: Duration) -> usize {
--- a/crates/pimento_steer/src/route.rs
+++ b/crates/pimento_steer/src/route.rs
@@ -147,7 +147,8 @@
             .filter(|(_, peer)| {
                 let other = peer.entry.vm != self.home.vm && !peer.stopping;
                 let room = view::room(&peer.rooms, ask.service);
-                other && room.slots > 0 && !ask.tried.contains(&peer.entry.vm)
+                let fits = room.slots > 0 && !ask.tried.contains(&peer.entry.vm);
+                other && fits && !self.paused(now, &peer.entry.vm, ask.service)
             })
             .map(|(i, _)| i)
             .collect();
@@ -194,6 +195,12 @@
             .binary_search_by(|p| (p.name.as_str(), &p.service).cmp(&key))
     }
 
+    /// Whether a place is left alone after failures.
+    fn paused(&self, now: Time, place: &str, service: &ServiceId) -> bool {
+        let found = self.find_place(place, service);
+        found.is_ok_and(|i| self.places[i].paused(now))
+    }
+
     /// The record of a place, made if it is missing.
     fn place(&mut self, now: Time, name: &str, service: &ServiceId, floor: f64) -> &mut Place {
         let i = match self.find_place(name, service) {
@@ -223,7 +230,7 @@
     /// sooner, first in the region, then elsewhere.
     fn move_away(&mut self, now: Time, ask: &Ask<'_>, least: f64) -> Option<Hop> {
         let (near, far): (Vec<usize>, Vec<usize>) = (0..self.view.domains.len())
-            .filter(|i| self.fits(ask, *i))
+            .filter(|i| self.fits(now, ask, *i))
             .partition(|i| {
                 let domain = &self.view.domains[*i].domain;
                 self.region_of(domain) == Some(&self.home.region)
@@ -238,8 +245,11 @@
     }
 
     /// Whether a request may move to a failure domain.
-    fn fits(&self, ask: &Ask<'_>, i: usize) -> bool {
+    fn fits(&self, now: Time, ask: &Ask<'_>, i: usize) -> bool {
         let summary = &self.view.domains[i];
+        if self.paused(now, &summary.domain, ask.service) {
+            return false;
+        }
         let untried = |entry: &Entry| !ask.tried.contains(&entry.vm);
         view::room(&summary.rooms, ask.service).slots > 0 && summary.entries.iter().any(untried)
     }
@@ -316,7 +326,7 @@
         let inside = *domain == self.home.domain;
         let name = if inside { vm.as_str() } else { domain.as_str() };
         if let Ok(i) = self.find_place(name, service) {
-            self.places[i].end(now, outcome == Outcome::Refused);
+            self.places[i].end(now, outcome);
         }
         let bytes = match outcome {
             Outcome::Answered { bytes } | Outcome::Failed { bytes } => bytes,
--- a/crates/pimento_steer/tests/retries.rs
+++ b/crates/pimento_steer/tests/retries.rs
@@ -74,20 +74,30 @@
     assert_eq!(next, Next::GiveUp { verdict });
 }
 
-#[test]
-fn bounded_moves() {
+/// The delays of the moves after refusals by entry VMs.
+fn moves(class: Class) -> Vec<Duration> {
     let mut budget = RetryBudget::new();
     let mut rng = SmallRng::seed_from_u64(1);
-    let mut attempts = attempts(false, &mut budget);
-    let mut moves = 0;
-    for n in 0..10 {
+    let rule = rule(false);
+    let mut attempts = Attempts::new(at(0), &rule, class, at(5_000), &mut budget);
+    let mut delays = Vec::new();
+    for n in 0..100 {
         let refused = Failure::Refused { vm: vm(HOME, n) };
         let next = attempts.fail(at(1), &refused, EXPECTED, &mut budget, &mut rng);
-        let after = Duration::ZERO;
-        moves += u32::from(next == Next::Retry { after });
+        let Next::Retry { after } = next else { break };
+        delays.push(after);
     }
-    assert_eq!(moves, 3);
     assert_eq!(attempts.verdict(), Verdict::NotRun);
+    delays
+}
+
+#[test]
+fn bounded_moves() {
+    assert_eq!(moves(Class::Background), [Duration::ZERO; 3]);
+    let delays = moves(Class::Critical);
+    let waits: Vec<_> = delays.iter().filter(|d| !d.is_zero()).collect();
+    assert_eq!((delays.len(), waits.len()), (15, 3));
+    assert!(waits.is_sorted());
 }
 
 #[test]
--- a/crates/pimento_steer/tests/route.rs
+++ b/crates/pimento_steer/tests/route.rs
@@ -174,3 +174,20 @@
     let (accepted, refused) = (moved(3, false), moved(3, true));
     assert!(refused[2] * 4 < accepted[2], "{refused:?} {accepted:?}");
 }
+
+#[test]
+fn dead_domain() {
+    let mut steer = steer(at(0), view(at(0), full(6, 9), headroom(60, 60)));
+    let service = service();
+    let failed = Outcome::Failed { bytes: 0 };
+    let mut near = 0;
+    for step in 0..100 {
+        let now = at(step * 10);
+        let hop = steer.route(now, &ask(&service, full(6, 9), &[])).unwrap();
+        if domain_of(&hop) == "sapporo-b" {
+            near += 1;
+            steer.settle(now, &service, &hop, failed);
+        }
+    }
+    assert!((2..=4).contains(&near), "{near} requests to a dead domain");
+}
