--- a/crates/pimento_bench/benches/policy/preset.rs
+++ b/crates/pimento_bench/benches/policy/preset.rs
@@ -120,6 +120,7 @@
             ..Rules::default()
         };
         rules.services.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut blocks = Vec::new();
         for region in 0..REGIONS {
             rules.regions.push(Region {
                 name: region_id(region),
@@ -141,12 +142,13 @@
             });
             for block in 0..BLOCKS {
                 let net = format!("10.{domain}.{block}.0/24");
-                rules.blocks.push(Block {
+                blocks.push(Block {
                     net: net.parse().expect("a valid net"),
                     domain: domain_id(domain),
                 });
             }
         }
+        rules.blocks = blocks.into();
         rules
     }
 }
--- a/crates/pimento_bench/benches/policy/world.rs
+++ b/crates/pimento_bench/benches/policy/world.rs
@@ -226,7 +226,7 @@
 impl World {
     pub fn new(preset: &Preset, policy: Policy, scenario: &Scenario) -> Self {
         let rules = preset.rules();
-        let table = Arc::new(BlockTable::new(&rules.blocks));
+        let table = Arc::new(BlockTable::new(rules.blocks.iter()));
         let kinds = preset.kinds.len();
         let domains = REGIONS * DOMAINS;
         let mut targets = Vec::new();
