Hedge slow requests and settle every forwarded one

Cause: a request that was passed on and given up left its link bytes reserved; a silent pooled connection used up the whole deadline. Change: a guard settles each hop also when nobody waits any more; critical repeatable requests get one hedge from the retry budget; an attempt of a repeatable request waits for half of what is left, unless the service is usually slow.

--- a/crates/pimento_entry/src/dispatch.rs
+++ b/crates/pimento_entry/src/dispatch.rs
@@ -3,7 +3,7 @@
 use crate::{
     answer::Answer,
     body::Body,
-    hops::Failed,
+    hops::{Failed, Sent},
     inbound::Inbound,
     permit::{Permit, Refusal, Submit, Waiting},
     problem::Problem,
@@ -15,7 +15,7 @@
 use futures_util::{StreamExt, stream};
 use pimento_admit::{Ending, Reason};
 use pimento_core::{TargetId, Time, Verdict};
-use std::io;
+use std::{io, time::Duration};
 use tokio::sync::oneshot;
 
 /// Sends a request to one target of this VM and takes its answer.
@@ -25,6 +25,8 @@
     inbound: &Inbound,
     body: Body,
     tried: &[TargetId],
+    limit: Duration,
+    sent: &Sent,
 ) -> Result<Answer, Failed> {
     let permit = admit(shared, inbound, tried).await?;
     let now = shared.clock.now();
@@ -36,9 +38,10 @@
     }
     let target = permit.grant.target.clone();
     let url = format!("http://{}{}", permit.grant.address, inbound.path);
-    let limit = inbound.deadline.since(now);
-    let sent = upstream::exchange(shared, clients, inbound, body, url, &[], limit).await;
-    match sent {
+    sent.replace(Some(target.clone()));
+    let limit = limit.min(inbound.deadline.since(now));
+    let answer = upstream::exchange(shared, clients, inbound, body, url, &[], limit).await;
+    match answer {
         Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {
             shed(answer, permit, target)
         }
--- a/crates/pimento_entry/src/forward.rs
+++ b/crates/pimento_entry/src/forward.rs
@@ -11,7 +11,7 @@
     upstream::{self, Clients},
 };
 use pimento_core::{TargetId, Verdict};
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 /// Sends a request to another entry VM and takes the answer.
 pub(crate) async fn send(
@@ -21,6 +21,7 @@
     body: Body,
     to: SocketAddr,
     tried: &[TargetId],
+    limit: Duration,
 ) -> Result<Answer, Failed> {
     let url = format!("http://{to}/f/{}{}", inbound.service.name, inbound.path);
     let settings = &shared.settings;
@@ -32,7 +33,6 @@
         (headers::ORIGIN, origin.as_str()),
         (headers::AVOID, avoid.as_str()),
     ];
-    let limit = inbound.deadline.since(shared.clock.now());
     let answer = upstream::exchange(shared, clients, inbound, body, url, &extra, limit)
         .await
         .map_err(|lost| Failed::from(lost.problem))?;
--- a/crates/pimento_entry/src/hops.rs
+++ b/crates/pimento_entry/src/hops.rs
@@ -3,16 +3,18 @@
 use crate::{
     answer::Answer,
     body::Body,
-    dispatch, forward,
+    dispatch, forward, hedge,
     inbound::Inbound,
     node::{Route, Routed, Settle},
     problem::Problem,
+    settling::Settling,
     shared::Shared,
     upstream::Clients,
 };
 use actix_web::http::StatusCode;
 use pimento_core::{TargetId, Verdict, VmId};
-use pimento_steer::{Attempts, Failure, Hop, Next, Outcome};
+use pimento_steer::{Attempts, Failure, Hop, Next};
+use std::{cell::RefCell, time::Duration};
 
 /// An attempt that brought no answer.
 #[derive(Clone, Debug)]
@@ -24,10 +26,8 @@
 
 impl From<Problem> for Failed {
     fn from(problem: Problem) -> Self {
-        Self {
-            problem,
-            target: None,
-        }
+        let target = None;
+        Self { problem, target }
     }
 }
 
@@ -39,16 +39,71 @@
 
     /// What the attempt means for further ones; `vm` is the VM that failed it.
     fn meaning(&self, vm: &VmId) -> Failure {
-        match (&self.target, self.verdict()) {
-            (Some(target), Verdict::NotRun) => Failure::Shed {
-                target: target.clone(),
-            },
+        match (self.target.clone(), self.verdict()) {
+            (Some(target), Verdict::NotRun) => Failure::Shed { target },
             (None, Verdict::NotRun) => Failure::Refused { vm: vm.clone() },
-            (target, verdict) => Failure::Failed {
-                verdict,
-                target: target.clone(),
-                vm: None,
-            },
+            (target, verdict) => {
+                let vm = None;
+                Failure::Failed {
+                    verdict,
+                    target,
+                    vm,
+                }
+            }
+        }
+    }
+}
+
+/// The target that has an attempt under way.
+pub(crate) type Sent = RefCell<Option<TargetId>>;
+
+/// One attempt on its way to a hop.
+#[derive(Debug)]
+pub(crate) struct Attempt<'a> {
+    pub(crate) shared: &'a Shared,
+    pub(crate) clients: &'a Clients,
+    pub(crate) inbound: &'a Inbound,
+    pub(crate) routed: Routed,
+}
+
+impl Attempt<'_> {
+    /// Sends the request, and gives up waiting for an answer's head after
+    /// `limit`. The target is noted in `sent` as soon as it is known.
+    pub(crate) async fn send(
+        &self,
+        body: Body,
+        tried: &[TargetId],
+        limit: Duration,
+        sent: &Sent,
+    ) -> Result<Answer, Failed> {
+        let (shared, clients, inbound) = (self.shared, self.clients, self.inbound);
+        let Hop::Vm { address, .. } = &self.routed.hop else {
+            return dispatch::send(shared, clients, inbound, body, tried, limit, sent).await;
+        };
+        let mut settling = Settling::new(shared, self.settle());
+        match forward::send(shared, clients, inbound, body, *address, tried, limit).await {
+            Ok(mut answer) => {
+                answer.count_bytes(move |bytes, whole| settling.answered(bytes, whole));
+                Ok(answer)
+            }
+            Err(failed) => {
+                if failed.verdict() == Verdict::NotRun {
+                    settling.refused();
+                }
+                Err(failed)
+            }
+        }
+    }
+
+    fn settle(&self) -> Settle {
+        Settle::unknown(self.inbound.service.name.clone(), self.routed.hop.clone())
+    }
+
+    /// The VM that has the attempt.
+    fn vm(&self) -> &VmId {
+        match &self.routed.hop {
+            Hop::Local => &self.shared.settings.vm,
+            Hop::Vm { vm, .. } => vm,
         }
     }
 }
@@ -67,21 +122,18 @@
         let Some(routed) = route(shared, inbound, attempts.vms()).await else {
             break;
         };
-        let sent = send(
+        let attempt = Attempt {
             shared,
             clients,
             inbound,
-            next,
-            &routed.hop,
-            attempts.targets(),
-        )
-        .await;
-        let failed = match sent {
+            routed,
+        };
+        let failure = match hedge::send(&attempt, next, &mut attempts).await {
             Ok(answer) => return Ok(answer),
-            Err(failed) => failed,
+            Err(failure) => failure,
         };
-        let next = decide(shared, &mut attempts, &failed, &routed);
-        last = Some(failed.problem);
+        let next = decide(shared, &mut attempts, &failure);
+        last = Some(failure.failed.problem);
         match next {
             Next::Retry { after } => tokio::time::sleep(after).await,
             Next::GiveUp { .. } => break,
@@ -102,19 +154,53 @@
     let Some(routed) = route(shared, inbound, &[]).await else {
         return Err(nowhere().into());
     };
-    send(shared, clients, inbound, body, &routed.hop, &inbound.avoid).await
+    let attempt = Attempt {
+        shared,
+        clients,
+        inbound,
+        routed,
+    };
+    let limit = inbound.deadline.since(shared.clock.now());
+    let sent = Sent::default();
+    attempt.send(body, &inbound.avoid, limit, &sent).await
+}
+
+/// An attempt may take this many times the usual time before another one is
+/// made in its place.
+const SLOWEST: u32 = 4;
+
+/// How long an attempt may wait for an answer's head.
+///
+/// While another attempt may follow, half of what is left: a connection that
+/// has gone silent must not use up the deadline. A service that is usually slow,
+/// or whose time is unknown, gets all of it.
+pub(crate) fn patience(attempt: &Attempt<'_>, body: &Body) -> Duration {
+    let inbound = attempt.inbound;
+    let left = inbound.deadline.since(attempt.shared.clock.now());
+    let usual = attempt.routed.expected;
+    let more = inbound.service.repeatable && inbound.service.retry.attempts > 1;
+    match body {
+        Body::Held(_) if more && !usual.is_zero() => left.min((left / 2).max(usual * SLOWEST)),
+        Body::Held(_) | Body::Stream(_) => left,
+    }
+}
+
+/// Asks the node for the next hop.
+pub(crate) async fn route(shared: &Shared, inbound: &Inbound, tried: &[VmId]) -> Option<Routed> {
+    let route = Route {
+        service: inbound.service.name.clone(),
+        class: inbound.class,
+        origin: inbound.origin.clone(),
+        tried: tried.to_vec(),
+    };
+    shared.node.send(route).await.ok().flatten()
 }
 
 fn begin(shared: &Shared, inbound: &Inbound) -> Attempts {
     let now = shared.clock.now();
+    let (service, class, deadline) = (&inbound.service, inbound.class, inbound.deadline);
     let mut budget = shared.budget.lock().expect("no holder panics");
-    Attempts::new(
-        now,
-        &inbound.service,
-        inbound.class,
-        inbound.deadline,
-        &mut budget,
-    )
+    Attempts::new(now, service, class, deadline, &mut budget)
 }
 
 /// The body for the next attempt: a held one again, a streamed one only once.
@@ -125,75 +211,32 @@
     }
 }
 
-async fn route(shared: &Shared, inbound: &Inbound, tried: &[VmId]) -> Option<Routed> {
-    let route = Route {
-        service: inbound.service.name.clone(),
-        class: inbound.class,
-        origin: inbound.origin.clone(),
-        tried: tried.to_vec(),
-    };
-    shared.node.send(route).await.ok().flatten()
+/// An attempt that failed, and what is needed to decide about the next one.
+#[derive(Debug)]
+pub(crate) struct Lost {
+    pub(crate) failed: Failed,
+    vm: VmId,
+    expected: Duration,
 }
 
-async fn send(
-    shared: &Shared,
-    clients: &Clients,
-    inbound: &Inbound,
-    body: Body,
-    hop: &Hop,
-    tried: &[TargetId],
-) -> Result<Answer, Failed> {
-    let Hop::Vm { address, .. } = hop else {
-        return dispatch::send(shared, clients, inbound, body, tried).await;
-    };
-    let settle = |outcome| Settle {
-        service: inbound.service.name.clone(),
-        hop: hop.clone(),
-        outcome,
-    };
-    match forward::send(shared, clients, inbound, body, *address, tried).await {
-        Ok(mut answer) => {
-            let node = shared.node.clone();
-            let settle = settle(Outcome::Answered { bytes: 0 });
-            answer.count_bytes(move |bytes, whole| {
-                let outcome = if whole {
-                    Outcome::Answered { bytes }
-                } else {
-                    Outcome::Failed { bytes }
-                };
-                node.do_send(Settle { outcome, ..settle });
-            });
-            Ok(answer)
-        }
-        Err(failed) => {
-            let refused = failed.verdict() == Verdict::NotRun;
-            let outcome = if refused {
-                Outcome::Refused
-            } else {
-                Outcome::Failed { bytes: 0 }
-            };
-            shared.node.do_send(settle(outcome));
-            Err(failed)
+impl Lost {
+    pub(crate) fn new(failed: Failed, attempt: &Attempt<'_>) -> Self {
+        let vm = attempt.vm().clone();
+        let expected = attempt.routed.expected;
+        Self {
+            failed,
+            vm,
+            expected,
         }
     }
 }
 
 /// Decides after a failed attempt.
-fn decide(shared: &Shared, attempts: &mut Attempts, failed: &Failed, routed: &Routed) -> Next {
-    let vm = match &routed.hop {
-        Hop::Local => &shared.settings.vm,
-        Hop::Vm { vm, .. } => vm,
-    };
-    let failure = failed.meaning(vm);
+fn decide(shared: &Shared, attempts: &mut Attempts, lost: &Lost) -> Next {
+    let failure = lost.failed.meaning(&lost.vm);
     let now = shared.clock.now();
     let mut budget = shared.budget.lock().expect("no holder panics");
-    attempts.fail(
-        now,
-        &failure,
-        routed.expected,
-        &mut budget,
-        &mut rand::rng(),
-    )
+    attempts.fail(now, &failure, lost.expected, &mut budget, &mut rand::rng())
 }
 
 fn nowhere() -> Problem {
--- a/crates/pimento_entry/src/node/messages.rs
+++ b/crates/pimento_entry/src/node/messages.rs
@@ -47,7 +47,7 @@
 }
 
 /// Tells how a request ended that was passed to another VM.
-#[derive(Debug, Message)]
+#[derive(Clone, Debug, Message)]
 #[rtype(result = "()")]
 pub(crate) struct Settle {
     pub(crate) service: ServiceId,
@@ -55,6 +55,18 @@
     pub(crate) outcome: Outcome,
 }
 
+impl Settle {
+    /// A request that was passed on and of which nothing more is known yet.
+    pub(crate) const fn unknown(service: ServiceId, hop: Hop) -> Self {
+        let outcome = Outcome::Failed { bytes: 0 };
+        Self {
+            service,
+            hop,
+            outcome,
+        }
+    }
+}
+
 /// What a pull of the rules brought.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
--- a/crates/pimento_entry/src/node/routing.rs
+++ b/crates/pimento_entry/src/node/routing.rs
@@ -4,7 +4,7 @@
 use crate::callers::LookupReply;
 use actix::prelude::*;
 use pimento_admit::Headroom;
-use pimento_core::{Time, VmId};
+use pimento_core::{ServiceId, Time, VmId};
 use pimento_members::{Contact, Domain, Info, ServiceLoad};
 use pimento_steer::{Ask, Entry, Peer, Room, Summary, View};
 use std::time::Duration;
@@ -38,7 +38,7 @@
             local,
         };
         let hop = self.steer.route(now, &ask)?;
-        let expected = Duration::from_micros(local.latency_us);
+        let expected = self.usual_time(&msg.service, local);
         Some(Routed { hop, expected })
     }
 }
@@ -53,6 +53,19 @@
 }
 
 impl Node {
+    /// The usual time of a request, as measured here or else by a peer; zero if
+    /// nobody has measured any.
+    fn usual_time(&self, service: &ServiceId, local: Headroom) -> Duration {
+        let peers = self.members.live().flat_map(|peer| &peer.loads);
+        let times = peers.filter(|load| load.service == *service);
+        let slowest = times.map(|load| u64::from(load.latency)).max();
+        let micros = match local.latency_us {
+            0 => slowest.unwrap_or(0),
+            own => own,
+        };
+        Duration::from_micros(micros)
+    }
+
     /// Hands steering what membership and admission know.
     pub(super) fn tick_view(&mut self) {
         let now = self.now();
--- a/crates/pimento_entry/tests/path.rs
+++ b/crates/pimento_entry/tests/path.rs
@@ -5,7 +5,7 @@
 use awc::{Client, http::StatusCode};
 use pimento_standin::Fault;
 use std::time::Duration;
-use support::{Vm, key};
+use support::{Vm, key, verdict};
 
 const NOTE: &str = "
 number: 1
@@ -29,10 +29,6 @@
     format!("http://{}/s/{path}", vm.callers())
 }
 
-fn verdict<S>(answer: &awc::ClientResponse<S>) -> Option<&str> {
-    answer.headers().get("pimento-verdict")?.to_str().ok()
-}
-
 #[actix_rt::test]
 async fn whole_answer() {
     let vm = Vm::start(NOTE).await;
--- a/crates/pimento_entry/tests/support/mod.rs
+++ b/crates/pimento_entry/tests/support/mod.rs
@@ -104,24 +104,34 @@
 
     /// Starts a stand-in target and waits until this VM may send to it.
     pub async fn target(&self, service: &str, adjust: impl FnOnce(&mut StandinConfig)) -> Standin {
-        let name = TargetId::new(format!("{service}-1")).expect("a good name");
+        self.named(&format!("{service}-1"), service, adjust).await
+    }
+
+    /// Starts a further stand-in target.
+    pub async fn named(
+        &self,
+        name: &str,
+        service: &str,
+        adjust: impl FnOnce(&mut StandinConfig),
+    ) -> Standin {
+        let name = TargetId::new(name).expect("a good name");
         let mut config = StandinConfig::new(name, ServiceId::new(service).expect("a good name"));
         config.entries = self.settings.listen.targets.into_iter().collect();
         adjust(&mut config);
         let standin = Standin::start(config).expect("a loopback port");
-        self.ready(service).await;
+        self.ready(service, &standin).await;
         standin
     }
 
-    /// Waits until a request is answered by a target.
-    async fn ready(&self, service: &str) {
-        let url = format!("http://{}/s/{service}/ready", self.callers());
-        until("a target is taken", || async {
+    /// Waits until the new target runs requests.
+    async fn ready(&self, service: &str, standin: &Standin) {
+        let url = format!("http://{}/s/{service}/shift/ready", self.callers());
+        until("the target is taken", || async {
             let request = Client::new()
                 .get(&url)
                 .insert_header(("idempotency-key", key()));
-            let answer = request.send().await;
-            answer.is_ok_and(|answer| answer.headers().get("pimento-verdict").is_none())
+            drop(request.send().await);
+            standin.counters().finished > 0
         })
         .await;
     }
@@ -177,3 +187,8 @@
         },
     }
 }
+
+/// The verdict of a failure.
+pub fn verdict<S>(answer: &awc::ClientResponse<S>) -> Option<&str> {
+    answer.headers().get("pimento-verdict")?.to_str().ok()
+}
