Pass callers on from a control VM whose disk failed

A VM with a failed disk answered callers with an error although the others could serve them; it now sends them on, and refuses local reads at once instead of after the limit. The files of a replica can be handed in, so that tests fill its disk.

--- a/crates/pimento_consensus/tests/promises.rs
+++ b/crates/pimento_consensus/tests/promises.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use pimento_consensus::{
     Append, AppendReply, Body, Change, Config, Effect, Entry, Hard, Kind, Member, Members, Message,
-    Raft, Saved, Snapshot, Vote, VoteReply,
+    Raft, Role, Saved, Snapshot, Vote, VoteReply,
 };
 use pimento_core::{Time, VmId};
 use std::time::Duration;
@@ -171,6 +171,28 @@
     term
 }
 
+#[test]
+fn stranger_vote() {
+    // Only the votes of members with the data folder that is known decide.
+    let mut raft = replica(3, Vec::new());
+    let now = Time::ZERO + LONG;
+    raft.tick(now);
+    let granted = |from| {
+        let reply = VoteReply {
+            pre: true,
+            granted: true,
+        };
+        message(from, 4, Body::VoteReply(reply))
+    };
+    raft.receive(now, &vm(3), granted(3));
+    let mut foreign = granted(2);
+    foreign.instance = instance(7);
+    raft.receive(now, &vm(2), foreign);
+    assert_eq!(raft.status().role, Role::PreCandidate);
+    raft.receive(now, &vm(2), granted(2));
+    assert_eq!(raft.status().role, Role::Candidate);
+}
+
 #[test]
 fn older_term() {
     // An entry of an older term on a quorum may still be replaced; only one of
@@ -235,7 +257,7 @@
 #[test]
 fn replaced_entries() {
     // What was durable before a new leader's entries took its place is not.
-    let mut raft = replica(2, vec![entry(2, 2), entry(3, 2)]);
+    let mut raft = replica(3, vec![entry(2, 2), entry(3, 2)]);
     let now = Time::ZERO;
     let append = |entries| {
         let body = Body::Append(Append {
--- a/crates/pimento_control/src/actor.rs
+++ b/crates/pimento_control/src/actor.rs
@@ -15,7 +15,7 @@
 use pimento_rules::Rules;
 use pimento_settings::Peer;
 use pimento_state::State;
-use pimento_storage::{Folder, Store, StoreError};
+use pimento_storage::{Disk as Files, Folder, Store, StoreError};
 use prost::Message as _;
 use std::{
     net::SocketAddr,
@@ -85,8 +85,23 @@
     /// Returns an error that names the file if the data folder is in use, is
     /// damaged or can't be written.
     pub fn start(config: ControlConfig, links: Links, log: Logger) -> anyhow::Result<Addr<Self>> {
+        let folder = Folder::open(&config.data)?;
+        Self::start_on(Box::new(folder), config, links, log)
+    }
+
+    /// Starts the replica on other files than those of the data folder.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::start`].
+    pub fn start_on(
+        files: Box<dyn Files>,
+        config: ControlConfig,
+        links: Links,
+        log: Logger,
+    ) -> anyhow::Result<Addr<Self>> {
         let hub = links.clone();
-        let control = Self::open(config, links, log)?;
+        let control = Self::open(files, config, links, log)?;
         let arbiter = Arbiter::new();
         let addr = Self::start_in_arbiter(&arbiter.handle(), |_| control);
         hub.subscribe(Channel::Consensus, addr.clone().recipient());
@@ -95,9 +110,13 @@
         Ok(addr)
     }
 
-    fn open(config: ControlConfig, links: Links, log: Logger) -> anyhow::Result<Self> {
-        let folder = Folder::open(&config.data)?;
-        let (mut store, opened) = Store::open(folder)?;
+    fn open(
+        files: Box<dyn Files>,
+        config: ControlConfig,
+        links: Links,
+        log: Logger,
+    ) -> anyhow::Result<Self> {
+        let (mut store, opened) = Store::open(files)?;
         let file = config.data.display();
         if opened.cut > 0 {
             event!(log, Event::TailCut, "folder" => %file, "bytes" => opened.cut);
--- a/crates/pimento_control/src/disk.rs
+++ b/crates/pimento_control/src/disk.rs
@@ -3,12 +3,12 @@
 use crate::record::{self, Identity};
 use bytes::Bytes;
 use pimento_consensus::Write;
-use pimento_storage::{Folder, Store, StoreError};
+use pimento_storage::{Disk as Files, Store, StoreError};
 
 /// The log file and whose it is.
 #[derive(Debug)]
 pub(crate) struct Disk {
-    pub store: Store<Folder>,
+    pub store: Store<Box<dyn Files>>,
     pub identity: Identity,
 }
 
--- a/crates/pimento_control/src/handlers.rs
+++ b/crates/pimento_control/src/handlers.rs
@@ -4,7 +4,7 @@
     Backup, Change, Control, ControlError, ControlStatus, Fault, GetStatus, Propose, Query,
     RulesChanged, Shutdown, Subscribe, View, client,
     waiters::{Done, Late, Purpose, Reader},
-    wire::{Answer, Ask, Question, Reply},
+    wire::{Answer, Ask, NotLeader, Question, Reply},
 };
 use actix::prelude::*;
 use bytes::Bytes;
@@ -25,7 +25,8 @@
     /// Answers a question if this VM leads.
     fn take(&mut self, question: &Question, done: Done, ctx: &mut Context<Self>) {
         if self.failed {
-            return done.send(ControlError::not_run(Fault::DiskFailed));
+            // Another control VM can still answer.
+            return done.send(Answer::NotLeader(NotLeader::default()));
         }
         match question {
             Question::Propose(payload) => self.propose(payload.clone(), done, ctx),
@@ -115,6 +116,10 @@
     fn wait_applied(&mut self, index: u64) -> oneshot::Receiver<Answer> {
         let (sender, receiver) = oneshot::channel();
         let done = Done::new(move |answer| drop(sender.send(answer)));
+        if self.failed {
+            done.send(ControlError::not_run(Fault::DiskFailed));
+            return receiver;
+        }
         let deadline = self.now() + LIMIT;
         self.late.push(Late {
             index,
--- a/crates/pimento_control/tests/group.rs
+++ b/crates/pimento_control/tests/group.rs
@@ -41,12 +41,7 @@
     // The old leader comes back with its folder and catches up.
     cluster.start(old);
     let last = client.propose(&Command::default()).await.unwrap().index;
-    loop {
-        if cluster.status(old).await.applied >= last {
-            break;
-        }
-        actix_rt::time::sleep(std::time::Duration::from_millis(20)).await;
-    }
+    cluster.until(old, |status| status.applied >= last).await;
 }
 
 #[actix_rt::test]
--- /dev/null
+++ b/crates/pimento_control/tests/support/failing.rs
@@ -0,0 +1,64 @@
+//! A data folder whose disk can become full.
+
+use pimento_storage::{Disk, Folder};
+use std::{
+    io,
+    path::PathBuf,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+/// A data folder whose disk can become full.
+#[derive(Debug)]
+pub struct Failing {
+    pub folder: Folder,
+    pub full: Arc<AtomicBool>,
+}
+
+impl Failing {
+    fn check(&self) -> io::Result<()> {
+        if self.full.load(Ordering::Relaxed) {
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        Ok(())
+    }
+}
+
+impl Disk for Failing {
+    fn path(&self, name: &str) -> PathBuf {
+        self.folder.path(name)
+    }
+
+    fn read(&mut self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        self.folder.read(name)
+    }
+
+    fn create(&mut self, name: &str, data: &[u8]) -> io::Result<()> {
+        self.check()?;
+        self.folder.create(name, data)
+    }
+
+    fn append(&mut self, name: &str, data: &[u8]) -> io::Result<()> {
+        self.check()?;
+        self.folder.append(name, data)
+    }
+
+    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
+        self.folder.truncate(name, len)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.check()?;
+        self.folder.sync(name)
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.folder.rename(from, to)
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.folder.sync_folder()
+    }
+}
--- a/crates/pimento_control/tests/support/mod.rs
+++ b/crates/pimento_control/tests/support/mod.rs
@@ -3,14 +3,18 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod claims;
+mod failing;
 
 use actix::prelude::*;
+use failing::Failing;
 use pimento_control::{Control, ControlClient, ControlConfig, ControlStatus, GetStatus, Shutdown};
 use pimento_core::VmId;
 use pimento_link::{Key, Links};
 use pimento_settings::Peer;
+use pimento_storage::Folder;
 use std::{
     net::{SocketAddr, TcpListener},
+    sync::{Arc, atomic::AtomicBool},
     time::Duration,
 };
 
@@ -24,6 +28,8 @@
     pub arbiters: Vec<Option<Arbiter>>,
     pub folders: Vec<tempfile::TempDir>,
     pub vms: Vec<Option<Addr<Control>>>,
+    /// Whether the disk of a VM takes no more data.
+    pub full: Vec<Arc<AtomicBool>>,
 }
 
 impl Cluster {
@@ -33,6 +39,7 @@
             arbiters: Vec::new(),
             folders: Vec::new(),
             vms: vec![None; size],
+            full: (0..size).map(|_| Arc::default()).collect(),
         };
         for i in 0..size {
             let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -46,7 +53,7 @@
     }
 
     /// Starts the links of a VM on an arbiter of their own.
-    fn links(&mut self, i: usize) -> Links {
+    pub fn links(&mut self, i: usize) -> Links {
         let arbiter = Arbiter::new();
         let (vm, address) = (self.peers[i].vm.clone(), self.peers[i].address);
         let (sender, receiver) = std::sync::mpsc::channel();
@@ -62,10 +69,7 @@
 
     /// The links of a process without the control role.
     pub fn client(&self) -> ControlClient {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let vm = VmId::new("entry").unwrap();
-        let links = Links::start(vm, Key::new("secret"), listener, pimento_log::discard());
-        ControlClient::new(links.unwrap(), &self.peers)
+        ControlClient::new(spare_links(), &self.peers)
     }
 
     pub fn start(&mut self, i: usize) {
@@ -76,7 +80,12 @@
             data: self.folders[i].path().to_owned(),
             seed: i as u64,
         };
-        let started = Control::start(config, links, pimento_log::discard());
+        let folder = Folder::open(&config.data).unwrap();
+        let disk = Box::new(Failing {
+            folder,
+            full: Arc::clone(&self.full[i]),
+        });
+        let started = Control::start_on(disk, config, links, pimento_log::discard());
         self.vms[i] = Some(started.unwrap());
     }
 
@@ -103,6 +112,16 @@
         addr.send(GetStatus).await.unwrap()
     }
 
+    /// Waits until a VM's status is as wanted.
+    pub async fn until(&self, i: usize, wanted: impl Fn(&ControlStatus) -> bool) {
+        let wait = async {
+            while !wanted(&self.status(i).await) {
+                actix_rt::time::sleep(PAUSE).await;
+            }
+        };
+        actix_rt::time::timeout(LIMIT, wait).await.unwrap();
+    }
+
     /// Waits until some VM leads with a number of voters; its place.
     pub async fn leader(&self, voters: usize) -> usize {
         let wait = async {
@@ -131,3 +150,11 @@
     }
     TcpListener::bind(address).unwrap()
 }
+
+/// Links at a new address.
+pub fn spare_links() -> Links {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let vm = VmId::new("entry").unwrap();
+    let links = Links::start(vm, Key::new("secret"), listener, pimento_log::discard());
+    links.unwrap()
+}
--- a/crates/pimento_storage/src/disk.rs
+++ b/crates/pimento_storage/src/disk.rs
@@ -1,6 +1,6 @@
 //! The edge to the file system.
 
-use std::{io, path::PathBuf};
+use std::{fmt::Debug, io, path::PathBuf};
 
 /// The file operations that the store needs, within one folder.
 ///
@@ -10,7 +10,7 @@
     clippy::missing_errors_doc,
     reason = "each operation passes on what the system said"
 )]
-pub trait Disk: Send {
+pub trait Disk: Debug + Send {
     /// The path of a file, for messages.
     fn path(&self, name: &str) -> PathBuf;
 
@@ -35,3 +35,37 @@
     /// Makes the names in the folder durable.
     fn sync_folder(&mut self) -> io::Result<()>;
 }
+
+impl Disk for Box<dyn Disk> {
+    fn path(&self, name: &str) -> PathBuf {
+        (**self).path(name)
+    }
+
+    fn read(&mut self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        (**self).read(name)
+    }
+
+    fn create(&mut self, name: &str, data: &[u8]) -> io::Result<()> {
+        (**self).create(name, data)
+    }
+
+    fn append(&mut self, name: &str, data: &[u8]) -> io::Result<()> {
+        (**self).append(name, data)
+    }
+
+    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
+        (**self).truncate(name, len)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        (**self).sync(name)
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        (**self).rename(from, to)
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        (**self).sync_folder()
+    }
+}
