Write a log anew when it is opened

A sync that fails lets the system forget what it had not written, and a later sync succeeds in vain; a process that started again trusted such data. The store now writes what it read into a new file and syncs that, which also covers torn ends.

--- a/crates/pimento_control/tests/disk.rs
+++ b/crates/pimento_control/tests/disk.rs
@@ -39,19 +39,6 @@
     cluster.until(old, |status| status.applied >= next).await;
 }
 
-#[actix_rt::test]
-async fn full_majority() {
-    let mut cluster = Cluster::new(3);
-    cluster.start_all();
-    let leader = cluster.leader(3).await;
-    let addr = cluster.vms[leader].clone().unwrap();
-    for i in (0..3).filter(|i| *i != leader) {
-        cluster.full[i].store(true, Ordering::Relaxed);
-    }
-    addr.send(propose()).await.unwrap().unwrap_err();
-    addr.send(Query).await.unwrap().unwrap_err();
-}
-
 #[actix_rt::test]
 async fn foreign_folder() {
     let mut cluster = Cluster::new(1);
--- a/crates/pimento_control/tests/group.rs
+++ b/crates/pimento_control/tests/group.rs
@@ -2,9 +2,13 @@
 
 mod support;
 
-use pimento_control::{Backup, Fault, Propose, Query, View, restore_backup};
+use pimento_control::{
+    Backup, Change, ControlStatus, Fault, MemberChange, Propose, Query, View, restore_backup,
+};
 use pimento_core::Verdict;
+use pimento_settings::Peer;
 use pimento_state::Command;
+use std::sync::atomic::Ordering;
 use support::Cluster;
 
 fn propose() -> Propose {
@@ -106,3 +110,42 @@
     let next = addr.send(propose()).await.unwrap().unwrap().index;
     assert!(next > last);
 }
+
+#[actix_rt::test]
+async fn replaced_vm() {
+    let mut cluster = Cluster::new(3);
+    cluster.start_all();
+    let leader = cluster.leader(3).await;
+    let addr = cluster.vms[leader].clone().unwrap();
+    let lost = (leader + 1) % 3;
+    cluster.stop(lost).await;
+    cluster.folders[lost] = tempfile::tempdir().unwrap();
+    cluster.start(lost);
+    let last = addr.send(propose()).await.unwrap().unwrap().index;
+    let Peer { vm, address } = cluster.peers[lost].clone();
+    let address = address.to_string();
+    let remove = MemberChange::Remove { vm: vm.clone() };
+    addr.send(Change(remove)).await.unwrap().unwrap();
+    let add = MemberChange::Add { vm, address };
+    addr.send(Change(add)).await.unwrap().unwrap();
+    let caught_up = |s: &ControlStatus| s.applied > last && s.members.len() == 3;
+    cluster.until(lost, caught_up).await;
+    // A second VM is lost right after the repair, and the group goes on.
+    let second = (leader + 2) % 3;
+    cluster.stop(second).await;
+    let next = addr.send(propose()).await.unwrap().unwrap().index;
+    cluster.until(lost, |s| s.applied >= next).await;
+}
+
+#[actix_rt::test]
+async fn full_majority() {
+    let mut cluster = Cluster::new(3);
+    cluster.start_all();
+    let leader = cluster.leader(3).await;
+    let addr = cluster.vms[leader].clone().unwrap();
+    for i in (0..3).filter(|i| *i != leader) {
+        cluster.full[i].store(true, Ordering::Relaxed);
+    }
+    addr.send(propose()).await.unwrap().unwrap_err();
+    addr.send(Query).await.unwrap().unwrap_err();
+}
--- a/crates/pimento_control/tests/support/failing.rs
+++ b/crates/pimento_control/tests/support/failing.rs
@@ -45,10 +45,6 @@
         self.folder.append(name, data)
     }
 
-    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
-        self.folder.truncate(name, len)
-    }
-
     fn sync(&mut self, name: &str) -> io::Result<()> {
         self.check()?;
         self.folder.sync(name)
--- a/crates/pimento_storage/src/disk.rs
+++ b/crates/pimento_storage/src/disk.rs
@@ -23,9 +23,6 @@
     /// Adds to the end of a file.
     fn append(&mut self, name: &str, data: &[u8]) -> io::Result<()>;
 
-    /// Cuts a file off at a length in bytes.
-    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()>;
-
     /// Makes a file's content durable.
     fn sync(&mut self, name: &str) -> io::Result<()>;
 
@@ -53,10 +50,6 @@
         (**self).append(name, data)
     }
 
-    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
-        (**self).truncate(name, len)
-    }
-
     fn sync(&mut self, name: &str) -> io::Result<()> {
         (**self).sync(name)
     }
--- a/crates/pimento_storage/src/folder.rs
+++ b/crates/pimento_storage/src/folder.rs
@@ -93,10 +93,6 @@
         self.handle(name)?.write_all(data)
     }
 
-    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
-        self.handle(name)?.set_len(len)
-    }
-
     fn sync(&mut self, name: &str) -> io::Result<()> {
         self.handle(name)?.sync_data()
     }
--- a/crates/pimento_storage/src/frame.rs
+++ b/crates/pimento_storage/src/frame.rs
@@ -12,7 +12,7 @@
 /// The bytes before a payload.
 const HEAD: usize = 12;
 /// The byte after a payload.
-pub(crate) const CLOSE: u8 = 0xA5;
+const CLOSE: u8 = 0xA5;
 
 /// What was read from a file.
 #[derive(Debug, Eq, PartialEq)]
@@ -20,8 +20,6 @@
     pub records: Vec<Bytes>,
     /// The length of the whole records, in bytes.
     pub len: usize,
-    /// Whether the last one lacks its closing byte, which comes next.
-    pub unclosed: bool,
 }
 
 /// What stands at an offset.
@@ -60,19 +58,18 @@
     let mut parsed = Parsed {
         records: Vec::new(),
         len: MAGIC.len(),
-        unclosed: false,
     };
-    while parsed.len < data.len() && !parsed.unclosed {
-        let payload = match record(data, parsed.len)? {
-            Found::Whole(payload) => payload,
-            Found::Unclosed(payload) => {
-                parsed.unclosed = true;
-                payload
-            }
+    while parsed.len < data.len() {
+        let (payload, last) = match record(data, parsed.len)? {
+            Found::Whole(payload) => (payload, false),
+            Found::Unclosed(payload) => (payload, true),
             Found::Torn => break,
         };
-        parsed.len += HEAD + payload.len() + usize::from(!parsed.unclosed);
+        parsed.len += HEAD + payload.len() + 1;
         parsed.records.push(payload);
+        if last {
+            break;
+        }
     }
     Ok(parsed)
 }
--- a/crates/pimento_storage/src/store.rs
+++ b/crates/pimento_storage/src/store.rs
@@ -93,18 +93,9 @@
                 });
             }
         };
-        if parsed.len < total {
-            let done = store.disk.truncate(LOG, parsed.len as u64);
-            store.check("cut off the torn end", LOG, done)?;
-        }
-        if parsed.unclosed {
-            let done = store.disk.append(LOG, &[frame::CLOSE]);
-            store.check("close the last record of", LOG, done)?;
-        }
-        // What was read may never have been synced before the process died.
-        store.sync()?;
-        let done = store.disk.sync_folder();
-        store.check("sync the folder of", LOG, done)?;
+        // What was read may be only in the system's memory, and a sync that
+        // failed before may have dropped it there; so it is written anew.
+        store.replace(&parsed.records)?;
         let opened = Opened {
             records: parsed.records,
             cut: (total - parsed.len) as u64,
--- a/crates/pimento_storage/tests/failures.rs
+++ b/crates/pimento_storage/tests/failures.rs
@@ -111,6 +111,29 @@
     }
 }
 
+#[test]
+fn restarted_process() {
+    // What a new process reads must last, also if its disk then crashes.
+    for seed in 0..50 {
+        let fake = Fake::default();
+        work(&fake, seed, 5);
+        for operation in 1..=2 {
+            fake.fail_at(fake.count() + operation);
+            let (mut store, _) = Store::open(fake.clone()).unwrap_or_else(|_| {
+                fake.fail_at(0);
+                Store::open(fake.clone()).unwrap()
+            });
+            fake.fail_at(fake.count() + operation);
+            store.append(&[Bytes::from_static(b"lost")]).unwrap_err();
+            fake.fail_at(0);
+            let (_, opened) = Store::open(fake.clone()).unwrap();
+            fake.crash(seed);
+            let (_, again) = Store::open(fake.clone()).unwrap();
+            assert_eq!(again.records, opened.records);
+        }
+    }
+}
+
 #[test]
 fn random_crash() {
     bolero::check!()
--- a/crates/pimento_storage/tests/support/mod.rs
+++ b/crates/pimento_storage/tests/support/mod.rs
@@ -15,6 +15,9 @@
 struct Content {
     data: Vec<u8>,
     durable: Vec<u8>,
+    /// Whether a sync failed: the system then counts the data as written, so
+    /// that later syncs succeed in vain.
+    dropped: bool,
 }
 
 #[derive(Debug, Default)]
@@ -27,8 +30,6 @@
     count: usize,
     /// The operation that fails.
     fail: Option<usize>,
-    /// Whether an operation failed.
-    failed: bool,
 }
 
 /// A disk in memory; clones share it.
@@ -59,7 +60,6 @@
     fn attempt(&mut self) -> io::Result<()> {
         self.count += 1;
         if self.fail == Some(self.count) {
-            self.failed = true;
             return Err(io::Error::from(io::ErrorKind::StorageFull));
         }
         Ok(())
@@ -86,7 +86,12 @@
     pub fn put(&self, name: &str, data: Vec<u8>) {
         let mut shared = self.0.lock().unwrap();
         let durable = data.clone();
-        shared.files.push(Content { data, durable });
+        let dropped = false;
+        shared.files.push(Content {
+            data,
+            durable,
+            dropped,
+        });
         let file = shared.files.len() - 1;
         shared.names.retain(|(known, _)| known != name);
         shared.names.push((name.to_owned(), file));
@@ -111,10 +116,10 @@
             }
             file.data = data;
             file.durable = file.data.clone();
+            file.dropped = false;
         }
         shared.sync_names();
         shared.fail = None;
-        shared.failed = false;
     }
 }
 
@@ -144,7 +149,9 @@
             let file = shared.files.len() - 1;
             shared.names.push((name.to_owned(), file));
         }
-        shared.file(name)?.data = part.to_vec();
+        let file = shared.file(name)?;
+        file.data = part.to_vec();
+        file.dropped = false;
         result
     }
 
@@ -160,23 +167,15 @@
         result
     }
 
-    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
-        let mut shared = self.0.lock().unwrap();
-        shared.attempt()?;
-        shared.file(name)?.data.truncate(len as usize);
-        Ok(())
-    }
-
     fn sync(&mut self, name: &str) -> io::Result<()> {
         let mut shared = self.0.lock().unwrap();
-        shared.attempt()?;
-        if shared.failed {
-            // The system dropped the data when the first attempt failed.
-            return Ok(());
-        }
+        let result = shared.attempt();
         let file = shared.file(name)?;
-        file.durable = file.data.clone();
-        Ok(())
+        file.dropped |= result.is_err();
+        if !file.dropped {
+            file.durable.clone_from(&file.data);
+        }
+        result
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
