--- a/crates/pimento_cli/src/note.rs
+++ b/crates/pimento_cli/src/note.rs
@@ -64,7 +64,7 @@
         fields.insert("in_force".into(), json!(vms));
     }
     out.print(&accepted, |_| {
-        format!("note {number} is in force on {} VMs", vms.len())
+        format!("note {number} is in force on {}", vms.join(", "))
     });
     Ok(())
 }
--- a/crates/pimento_cli/src/wait.rs
+++ b/crates/pimento_cli/src/wait.rs
@@ -15,27 +15,33 @@
 /// The looks between two lines of progress.
 const PROGRESS: u32 = 8;
 
-/// The version that a VM has in force.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+/// The version that a VM, or every VM of a failure domain, has in force.
+#[derive(Clone, Debug)]
 struct InForce {
-    vm: String,
+    place: String,
     version: u64,
 }
 
-/// Waits until every VM that the servers know to be alive has a version; the
-/// names of the VMs.
+impl InForce {
+    const fn new(place: String, version: u64) -> Self {
+        Self { place, version }
+    }
+}
+
+/// Waits until every VM and failure domain that the servers know to be alive
+/// has a version; their names.
 ///
 /// # Errors
 ///
-/// Returns a [`Failure`] that names the VMs which are behind when time is up.
+/// Returns a [`Failure`] that names those which are behind when time is up.
 pub async fn wait(client: &Client, number: u64, limit: Instant) -> Result<Vec<String>, Failure> {
     for look in 0_u32.. {
         let vms = versions(client).await;
         let behind: Vec<&InForce> = vms.iter().filter(|vm| vm.version < number).collect();
         if !vms.is_empty() && behind.is_empty() {
-            return Ok(vms.into_iter().map(|vm| vm.vm).collect());
+            return Ok(vms.into_iter().map(|vm| vm.place).collect());
         }
-        let names: Vec<&str> = behind.iter().map(|vm| vm.vm.as_str()).collect();
+        let names: Vec<&str> = behind.iter().map(|vm| vm.place.as_str()).collect();
         let text = match names.len() {
             0 => format!("note {number} is accepted; no VM tells its version"),
             n => format!(
@@ -54,7 +60,7 @@
     Err(Failure::new(Exit::Unknown, "gave up"))
 }
 
-/// The versions that the servers report, each VM once with its newest report.
+/// The versions that the servers report, each place once with its newest one.
 async fn versions(client: &Client) -> Vec<InForce> {
     let mut all = Vec::new();
     for server in client.servers() {
@@ -65,21 +71,38 @@
             all.extend(reported(&status));
         }
     }
-    all.sort_unstable_by(|a, b| (&a.vm, b.version).cmp(&(&b.vm, a.version)));
-    all.dedup_by(|later, first| later.vm == first.vm);
+    all.sort_unstable_by(|a, b| (&a.place, b.version).cmp(&(&b.place, a.version)));
+    all.dedup_by(|later, first| later.place == first.place);
     all
 }
 
-/// The versions in one status: that of the VM itself and those of its `vms`.
+/// The versions in one status: that of the VM itself, those of the other VMs
+/// of its failure domain, and the lowest one of each other failure domain.
 fn reported(status: &Value) -> Vec<InForce> {
-    let others = status.get("vms").and_then(Value::as_array);
-    let others = others.into_iter().flatten();
-    let alive = |vm: &&Value| vm.get("alive") != Some(&Value::Bool(false));
-    let one = |vm: &Value| {
-        let name = vm.get("vm")?.as_str()?.to_owned();
+    let node = status.get("node").unwrap_or(&Value::Null);
+    let list = |name| {
+        node.get(name)
+            .and_then(Value::as_array)
+            .into_iter()
+            .flatten()
+    };
+    let alive = |peer: &&Value| {
+        let state = peer.get("state").and_then(Value::as_str);
+        matches!(state, Some("alive" | "suspect"))
+    };
+    let live = |domain: &&Value| domain.get("live") != Some(&Value::from(0));
+    let vm = |vm: &Value| {
+        let name = vm.get("vm")?.as_str()?;
         let version = vm.get("version")?.as_u64()?;
-        Some(InForce { vm: name, version })
+        Some(InForce::new(name.to_owned(), version))
+    };
+    let domain = |domain: &Value| {
+        let name = domain.get("domain")?.as_str()?;
+        let low = domain.get("low")?.as_u64()?;
+        Some(InForce::new(format!("domain {name}"), low))
     };
-    let own = std::iter::once(status);
-    own.chain(others.filter(alive)).filter_map(one).collect()
+    let vms = std::iter::once(node).chain(list("peers").filter(alive));
+    let domains = list("domains").filter(live);
+    let vms = vms.filter_map(vm);
+    vms.chain(domains.filter_map(domain)).collect()
 }
