Refuse a claim that arrives after it was given up

A holder whose claim got no answer frees it, but the free could reach the log before the claim: the claim was then granted with nobody waiting, and the key stayed in flight until its deadline and as may-have-run after. A free of an unknown claim now leaves a record, so that the same attempt is refused while another one is granted.

Tables of the command line begin with the names of their rows.

--- a/crates/pimento_cli/src/output.rs
+++ b/crates/pimento_cli/src/output.rs
@@ -55,7 +55,7 @@
             .iter()
             .flat_map(|(name, field)| field_lines(name, field, depth))
             .collect(),
-        Value::Array(items) => table(items, &pad),
+        Value::Array(items) if !items.is_empty() => table(items, &pad),
         scalar => vec![format!("{pad}{}", plain(scalar))],
     }
 }
@@ -85,6 +85,9 @@
     }
 }
 
+/// The fields that name a row, which come first.
+const NAMES: [&str; 4] = ["domain", "number", "target", "vm"];
+
 /// A list of objects with a column for each field, or one item a line.
 fn table(items: &[Value], pad: &str) -> Vec<String> {
     let first = items.first().and_then(Value::as_object);
@@ -92,7 +95,8 @@
         let line = |item: &Value| format!("{pad}{}", plain(item));
         return items.iter().map(line).collect();
     };
-    let names: Vec<&String> = first.keys().collect();
+    let mut names: Vec<&String> = first.keys().collect();
+    names.sort_by_key(|name| !NAMES.contains(&name.as_str()));
     let head: Vec<String> = names.iter().map(|name| name.to_uppercase()).collect();
     let row = |item: &Value| -> Vec<String> {
         let cell = |name: &&String| plain(item.get(name.as_str()).unwrap_or(&Value::Null));
--- a/crates/pimento_ledger/src/ledger.rs
+++ b/crates/pimento_ledger/src/ledger.rs
@@ -229,10 +229,12 @@
         let id = check_slot(op.slot.as_ref())?;
         let owner = check_holder(op.holder.as_ref())?;
         self.advance(time, &id);
-        let entry = self.claims.get(&id).filter(|entry| entry.owner == owner);
-        let Some(entry) = entry else {
-            return Ok(Kind::NotHolder(()));
+        let Some(entry) = self.claims.get(&id) else {
+            return Ok(self.refuse(id, owner));
         };
+        if entry.owner != owner {
+            return Ok(Kind::NotHolder(()));
+        }
         match &entry.status {
             Status::Done { .. } => Ok(Kind::NotHolder(())),
             Status::Free => Ok(Kind::Freed(())),
@@ -243,6 +245,24 @@
         }
     }
 
+    /// Remembers that an attempt was given up before its claim arrived, so that
+    /// a claim which comes late is not granted to nobody.
+    fn refuse(&mut self, id: Id, owner: Owner) -> Kind {
+        let made = key_time(&id.key);
+        let kept = made >= horizon(self.now) && made <= self.now.saturating_add(MAX_LEAD);
+        if !kept || self.claims.is_full(&id.tenant) {
+            return Kind::NotHolder(());
+        }
+        let entry = Entry {
+            owner,
+            print: Print::default(),
+            status: Status::Free,
+            resource: None,
+        };
+        self.claims.insert(id, entry);
+        Kind::Freed(())
+    }
+
     /// Frees a held claim and its place.
     fn release(&mut self, id: &Id) {
         let Some(entry) = self.claims.get_mut(id) else {
--- a/crates/pimento_ledger/tests/claims.rs
+++ b/crates/pimento_ledger/tests/claims.rs
@@ -106,6 +106,14 @@
     assert_eq!(run(&mut ledger, NOW, &claim(1, 3)), Kind::InFlight(TIMEOUT));
 }
 
+#[test]
+fn free_before_claim() {
+    let mut ledger = Ledger::default();
+    assert_eq!(free(&mut ledger, 1, 1), Kind::Freed(()));
+    assert_eq!(run(&mut ledger, NOW, &claim(1, 1)), Kind::NotHolder(()));
+    assert_eq!(run(&mut ledger, NOW, &claim(1, 2)), Kind::Granted(()));
+}
+
 #[test]
 fn lost_holder() {
     let mut ledger = Ledger::default();
