--- a/crates/pimento_control/src/actor.rs
+++ b/crates/pimento_control/src/actor.rs
@@ -51,6 +51,8 @@
     pub(crate) rules: Arc<Rules>,
     /// The last entry applied to the state, and its term.
     pub(crate) applied: (u64, u64),
+    /// The size of the entries applied since the newest snapshot, in bytes.
+    pub(crate) grown: usize,
     /// Absent while a write is under way, and after a failed one.
     disk: Option<Disk>,
     /// Writes that gather while another one is under way.
@@ -146,6 +148,7 @@
             state: State::default(),
             rules: Arc::default(),
             applied: (0, 0),
+            grown: 0,
             disk: Some(Disk { store, identity }),
             queue: Vec::new(),
             leading: false,
--- a/crates/pimento_control/src/apply.rs
+++ b/crates/pimento_control/src/apply.rs
@@ -14,8 +14,13 @@
 use prost::Message as _;
 use std::sync::Arc;
 
-/// The applied entries after which the log is replaced by a snapshot.
-const SNAPSHOT_EVERY: u64 = 8_192;
+/// The size of the applied entries, in bytes, after which the log is replaced
+/// by a snapshot; a larger snapshot waits for as many bytes as it has itself,
+/// so that no more than about half of what is written is snapshots.
+const SNAPSHOT_AFTER: usize = 4 << 20;
+
+/// What an entry takes beside its payload, in bytes.
+const ENTRY_OVERHEAD: usize = 64;
 
 impl Control {
     /// Carries out what concerns the log and its callers.
@@ -37,6 +42,7 @@
             Answer::Index(entry.index)
         };
         self.applied = (entry.index, entry.term);
+        self.grown += entry.payload.len() + ENTRY_OVERHEAD;
         self.answer_waiters(entry, answer);
         self.answer_late();
         self.publish();
@@ -231,11 +237,12 @@
 
     /// Replaces a long log by a snapshot.
     pub(crate) fn compact(&mut self, ctx: &mut Context<Self>) {
-        let (index, _) = self.applied;
-        let taken = self.raft.snapshot().map_or(0, |s| s.index);
-        if self.failed || index < taken + SNAPSHOT_EVERY {
+        let size = self.raft.snapshot().map_or(0, |s| s.data.len());
+        if self.failed || self.grown < size.max(SNAPSHOT_AFTER) {
             return;
         }
+        self.grown = 0;
+        let (index, _) = self.applied;
         let data = self.state.snapshot().into();
         let effects = self.raft.compact(self.now(), index, data);
         self.run(effects, ctx);
--- a/crates/pimento_control/tests/resend.rs
+++ b/crates/pimento_control/tests/resend.rs
@@ -25,7 +25,10 @@
     let addr = cluster.vms[old].clone().unwrap();
     let (first, other) = (slot(now(), 1), slot(now(), 2));
     assert_eq!(run(&addr, claim(&first, 1)).await, Kind::Granted(()));
-    assert_eq!(run(&addr, done(&first, 1)).await, Kind::Finished(true));
+    assert_eq!(
+        run(&addr, done(&first, 1, answer())).await,
+        Kind::Finished(true)
+    );
     assert_eq!(run(&addr, claim(&other, 2)).await, Kind::Granted(()));
     cluster.stop(old).await;
     let new = cluster.leader(3).await;
@@ -43,7 +46,7 @@
     let addr = cluster.vms[leader].clone().unwrap();
     let (ran, freed, lost) = (slot(now(), 1), slot(now(), 2), slot(now(), 3));
     run(&addr, claim(&ran, 1)).await;
-    run(&addr, done(&ran, 1)).await;
+    run(&addr, done(&ran, 1, answer())).await;
     run(&addr, claim(&freed, 2)).await;
     run(&addr, free(&freed, 2)).await;
     let backup = addr.send(Backup).await.unwrap().unwrap();
--- a/crates/pimento_control/tests/support/claims.rs
+++ b/crates/pimento_control/tests/support/claims.rs
@@ -52,18 +52,23 @@
 }
 
 pub fn answer() -> Answer {
+    large_answer(4)
+}
+
+/// An answer with a body of some bytes.
+pub fn large_answer(size: usize) -> Answer {
     Answer {
         status: 201,
         headers: Vec::new(),
-        body: b"paid".to_vec(),
+        body: vec![7; size],
     }
 }
 
-pub fn done(slot: &Slot, attempt: u64) -> Command {
+pub fn done(slot: &Slot, attempt: u64, answer: Answer) -> Command {
     let finish = Finish {
         slot: Some(slot.clone()),
         holder: Some(holder(attempt)),
-        answer: Some(answer()),
+        answer: Some(answer),
     };
     Command::new(now(), Op::Finish(finish))
 }
