--- a/crates/pimento_members/src/beat.rs
+++ b/crates/pimento_members/src/beat.rs
@@ -87,8 +87,7 @@
     pub(crate) fn plain_beat(&self, named: bool) -> Beat {
         let interval = u32::try_from(self.interval().as_millis()).unwrap_or(u32::MAX);
         let mut beat = Beat {
-            vm: self.me.vm.to_string(),
-            incarnation: self.me.incarnation,
+            run: self.me.run(),
             interval,
             version: self.version,
             live: self.digest,
@@ -97,6 +96,8 @@
             ..Beat::default()
         };
         if named {
+            beat.vm = self.me.vm.to_string();
+            beat.incarnation = self.me.incarnation;
             beat.services = self.loads.iter().map(wire::service_text).collect();
             beat.link = wire::encode(self.me.link);
         }
--- a/crates/pimento_members/src/config.rs
+++ b/crates/pimento_members/src/config.rs
@@ -58,13 +58,13 @@
     fn default() -> Self {
         Self {
             beat: Duration::from_millis(500),
-            per_vm: Duration::from_millis(85),
-            longest: Duration::from_secs(2),
+            per_vm: Duration::from_millis(90),
+            longest: Duration::from_millis(2_200),
             missed: 3,
             grace: 2,
             summary: Duration::from_secs(1),
-            per_domain: Duration::from_millis(150),
-            names: 10,
+            per_domain: Duration::from_millis(240),
+            names: 16,
             probe: Duration::from_secs(5),
             forget: Duration::from_hours(1),
         }
--- a/crates/pimento_members/src/domain.rs
+++ b/crates/pimento_members/src/domain.rs
@@ -1,8 +1,9 @@
 //! Another failure domain.
 
-use crate::{Contact, ServiceLoad, Summary, hash, wire};
+use crate::{Contact, ServiceLoad, Summary, wire};
 use pimento_core::{DomainId, RegionId, Time, VmId};
-use std::time::Duration;
+use rand::{Rng, seq::IndexedRandom};
+use std::{net::SocketAddr, time::Duration};
 
 /// The most VMs that a summary names.
 pub(crate) const MAX_NAMED: usize = 6;
@@ -60,6 +61,8 @@
     pub(crate) count: u32,
     /// The highest version and the shape of the last summary sent.
     pub(crate) told: (u64, u32),
+    /// The link address of the domain's delegate for this domain, if known.
+    pub(crate) partner: Option<SocketAddr>,
     /// Whether this VM is the delegate that sends it summaries.
     pub(crate) mine: bool,
     /// The newest summary, until it went on to the VMs of this domain.
@@ -84,6 +87,7 @@
             sent: None,
             count: 0,
             told: (0, 0),
+            partner: None,
             mine: false,
             relay: None,
         }
@@ -111,16 +115,27 @@
         self.contacts.push(contact);
     }
 
-    /// Chooses the VM that sends the domain summaries, by rendezvous among the
-    /// live VMs of this domain.
-    ///
-    /// VMs that disagree on who lives may both send or, for a moment, neither;
-    /// the next interval makes up for it.
-    pub(crate) fn choose_delegate(&mut self, me: &VmId, others: &[&VmId]) {
-        let weight = |vm: &VmId| hash::weight(&self.id, vm);
-        let own = weight(me);
-        self.mine = !others.iter().any(|vm| weight(vm) > own);
-        if !self.mine {
+    /// Where the next summary goes: to the domain's own delegate, so that the
+    /// work of passing summaries on is spread, or, after silence for some
+    /// intervals, to any VM that is known.
+    pub(crate) fn receiver(
+        &self,
+        now: Time,
+        interval: Duration,
+        rng: &mut impl Rng,
+    ) -> Option<SocketAddr> {
+        /// The intervals of silence after which the delegate is doubted.
+        const SILENCE: u32 = 3;
+        let heard = now.since(self.heard) < interval * SILENCE;
+        let partner = self.partner.filter(|_| heard);
+        let any = |rng| self.contacts.choose(rng).map(|c| c.link);
+        partner.or_else(|| any(rng))
+    }
+
+    /// Sets whether this VM is the delegate that sends the domain summaries.
+    pub(crate) fn set_mine(&mut self, mine: bool) {
+        self.mine = mine;
+        if !mine {
             self.count = 0;
         }
     }
@@ -132,6 +147,8 @@
             return false;
         }
         self.heard = now;
+        let sender = summary.sender.as_ref().and_then(wire::contact);
+        self.partner = sender.map(|s| s.link).or(self.partner);
         self.low = summary.low;
         self.high = summary.low.saturating_add(summary.spread);
         self.live = summary.live;
--- a/crates/pimento_members/src/info.rs
+++ b/crates/pimento_members/src/info.rs
@@ -1,5 +1,6 @@
 //! Who a VM is and where it listens.
 
+use crate::hash;
 use pimento_core::{DomainId, RegionId, VmId};
 use std::net::SocketAddr;
 
@@ -24,6 +25,15 @@
     pub targets: Option<SocketAddr>,
 }
 
+impl Info {
+    /// A short hash of the name and the incarnation, which stands for them in
+    /// heartbeats. It only has to differ between the VMs of one domain.
+    pub fn run(&self) -> u32 {
+        let incarnation = self.incarnation.to_le_bytes();
+        hash::fnv([self.vm.as_bytes(), &incarnation].into_iter()) as u32
+    }
+}
+
 /// A VM of another failure domain.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Contact {
--- a/crates/pimento_members/src/join.rs
+++ b/crates/pimento_members/src/join.rs
@@ -24,7 +24,7 @@
 const ASK_GAP: Duration = Duration::from_secs(2);
 
 /// The most hints that one greeting gives or takes.
-const MAX_HINTS: usize = 64;
+const MAX_HINTS: usize = 256;
 
 /// The most summaries that a greeting gives or takes.
 pub(crate) const MAX_SUMMARIES: usize = 512;
@@ -208,12 +208,10 @@
             let others = self.live().filter(|p| p.info.vm != to.vm);
             hello.hints = others.map(|p| own_hint(&p.info)).collect();
         }
+        let firsts = self.domains.iter();
+        let firsts = firsts.filter_map(|d| Some(hint(d, d.contacts.first()?)));
+        hello.hints.extend(firsts);
         if !bare {
-            let firsts = self
-                .domains
-                .iter()
-                .filter_map(|d| hint(d, d.contacts.first()?).into());
-            hello.hints.extend(firsts);
             hello.summaries = self.known_summaries(now);
         }
         let same = self.domains.iter().filter(|d| d.id == to.domain);
--- a/crates/pimento_members/src/members.rs
+++ b/crates/pimento_members/src/members.rs
@@ -210,18 +210,25 @@
     }
 
     /// Works out what follows from the live VMs and the known domains.
+    ///
+    /// The domains are dealt out to the live VMs in the order of their names,
+    /// so that each VM is the delegate for about as many. VMs that disagree on
+    /// who lives may both be the delegate for a domain or, for a moment,
+    /// neither; the next interval makes up for it.
     fn refresh(&mut self) {
         if !std::mem::take(&mut self.stale) {
             return;
         }
         let peers = self.peers.iter().filter(|p| p.is_live());
         let mut vms: Vec<&VmId> = peers.map(|p| &p.info.vm).collect();
-        self.domains
-            .iter_mut()
-            .for_each(|d| d.choose_delegate(&self.me.vm, &vms));
-        vms.push(&self.me.vm);
-        vms.sort();
-        self.digest = hash::fnv(vms.iter().map(|vm| vm.as_bytes())) as u32;
+        let rank = vms.partition_point(|vm| **vm < self.me.vm);
+        vms.insert(rank, &self.me.vm);
+        for (place, domain) in self.domains.iter_mut().enumerate() {
+            domain.set_mine(place % vms.len() == rank);
+        }
+        let vms = vms.iter().map(|vm| vm.as_bytes());
+        let domains = self.domains.iter().map(|d| d.id.as_bytes());
+        self.digest = hash::fnv(vms.chain(domains)) as u32;
     }
 
     /// Changes the state of a VM and says so if that matters to others.
--- a/crates/pimento_members/src/message.rs
+++ b/crates/pimento_members/src/message.rs
@@ -33,10 +33,10 @@
 /// A heartbeat, which goes to every live VM of the failure domain.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Beat {
-    /// The sender.
+    /// The sender, in some of the heartbeats.
     #[prost(string, tag = "1")]
     pub vm: String,
-    /// The sender's incarnation.
+    /// The sender's incarnation, in some of the heartbeats.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
     /// The sender's interval between heartbeats, in milliseconds.
@@ -68,9 +68,13 @@
     /// The sender's link address, in some of the heartbeats.
     #[prost(bytes = "vec", tag = "11")]
     pub link: Vec<u8>,
-    /// The hash of the names of the VMs that the sender counts as live.
+    /// The hash of the names of the VMs that the sender counts as live and of
+    /// the domains that it knows.
     #[prost(fixed32, tag = "12")]
     pub live: u32,
+    /// The hash of the sender's name and incarnation.
+    #[prost(fixed32, tag = "13")]
+    pub run: u32,
 }
 
 /// One run of a VM's process.
@@ -184,7 +188,9 @@
     /// Some of the domain's VMs, in some of the summaries.
     #[prost(message, repeated, tag = "11")]
     pub contacts: Vec<ContactText>,
-    /// The VM that sends the summary to another domain.
+    /// The VM that sends the summary to another domain; when the summary is
+    /// passed on inside that domain, only together with the names or after a
+    /// change.
     #[prost(message, optional, tag = "12")]
     pub sender: Option<ContactText>,
     /// The version of that VM's rules.
--- a/crates/pimento_members/src/peer.rs
+++ b/crates/pimento_members/src/peer.rs
@@ -40,6 +40,8 @@
     pub(crate) direct: Time,
     /// Its interval between heartbeats.
     pub(crate) interval: Duration,
+    /// The hash of its name and incarnation.
+    pub(crate) run: u32,
     /// The hash of its services and slots.
     pub(crate) shape: u32,
 }
@@ -47,6 +49,7 @@
 impl Peer {
     pub(crate) fn new(now: Time, info: Info, state: PeerState) -> Self {
         Self {
+            run: info.run(),
             info,
             state,
             version: 0,
--- a/crates/pimento_members/src/receive.rs
+++ b/crates/pimento_members/src/receive.rs
@@ -49,24 +49,17 @@
     /// The known VM that sent a heartbeat; an unknown one is greeted, and one
     /// that has stopped is ignored.
     fn sender(&mut self, now: Time, beat: &Beat) -> Option<usize> {
-        if beat.vm == self.me.vm.as_str() {
-            return None;
+        if let Some(i) = self.peers.iter().position(|p| p.run == beat.run) {
+            return (self.peers[i].state != PeerState::Left).then_some(i);
         }
-        let link = wire::decode(&beat.link);
-        let Ok(i) = self.find_peer(&beat.vm) else {
-            if let Some(link) = link {
-                self.ask(now, link);
-            }
-            return None;
-        };
-        let peer = &self.peers[i];
-        if beat.incarnation > peer.info.incarnation {
-            let link = link.unwrap_or(peer.info.link);
+        let known = self.peer(&beat.vm).map(|p| p.info.incarnation);
+        let newer = known.is_none_or(|known| known < beat.incarnation);
+        if let Some(link) = wire::decode(&beat.link)
+            && newer
+        {
             self.ask(now, link);
-            return None;
         }
-        let same = beat.incarnation == peer.info.incarnation;
-        (same && peer.state != PeerState::Left).then_some(i)
+        None
     }
 
     fn take_loads(&mut self, now: Time, i: usize, beat: &Beat) {
@@ -146,13 +139,16 @@
             return;
         };
         let sender = summary.sender.as_ref().and_then(wire::contact);
-        if let Some(sender) = sender {
+        if let Some(sender) = &sender {
             self.newer(summary.version, &sender.vm, sender.link, effects);
-            self.domains[i].add_contact(sender);
+            self.domains[i].add_contact(sender.clone());
         }
+        let link = sender.map(|s| s.link);
+        let changed = self.domains[i].partner != link;
         if self.take_summary(now, &summary) {
+            let tell = changed || !summary.contacts.is_empty();
             self.domains[i].relay = Some(Summary {
-                sender: None,
+                sender: summary.sender.filter(|_| tell),
                 hint: None,
                 version: 0,
                 ..summary
--- a/crates/pimento_members/src/summary.rs
+++ b/crates/pimento_members/src/summary.rs
@@ -6,12 +6,14 @@
     hash, load, wire,
 };
 use pimento_core::Time;
-use rand::seq::IndexedRandom;
 use std::{cmp::Reverse, time::Duration};
 
 /// The shortest time between two summaries to one domain.
 const MIN_GAP: Duration = Duration::from_millis(300);
 
+/// How much more often the domains of one region exchange summaries.
+const NEARER: u32 = 2;
+
 /// The first summaries to a domain, which carry the names whatever comes.
 const FIRST: u32 = 2;
 
@@ -27,28 +29,43 @@
 impl Members {
     /// Sends summaries to the domains that this VM is the delegate for.
     pub(crate) fn send_summaries(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let interval = self.pace.summary_interval(self.domains.len());
+        let far = self.pace.summary_interval(self.domains.len());
+        // The domains of one region are each other's first choice.
+        let near = (far / NEARER).max(self.pace.summary);
+        let region = Some(&self.me.region);
+        let interval = |d: &Domain| {
+            let same = d.region.as_ref() == region;
+            if same { near } else { far }
+        };
         let high = self.versions().1;
         let due = |d: &Domain| {
             let since = d.sent.map(|sent| now.since(sent));
             let news = high > d.told.0;
-            d.mine && since.is_none_or(|s| s >= interval || (news && s >= MIN_GAP))
+            d.mine && since.is_none_or(|s| s >= interval(d) || (news && s >= MIN_GAP))
         };
-        if !self.domains.iter().any(due) {
+        let due: Vec<_> = (0..self.domains.len())
+            .filter(|i| due(&self.domains[*i]))
+            .collect();
+        if due.is_empty() {
             return;
         }
         let summary = self.summarize();
-        for i in 0..self.domains.len() {
-            if due(&self.domains[i]) {
-                self.send_summary(now, i, &summary, effects);
-            }
+        for i in due {
+            self.send_summary(now, i, &summary, far, effects);
         }
     }
 
-    fn send_summary(&mut self, now: Time, i: usize, summary: &Summary, effects: &mut Vec<Effect>) {
+    fn send_summary(
+        &mut self,
+        now: Time,
+        i: usize,
+        summary: &Summary,
+        far: Duration,
+        effects: &mut Vec<Effect>,
+    ) {
         let hint = self.random_hint();
         let domain = &mut self.domains[i];
-        let Some(contact) = domain.contacts.choose(&mut self.rng) else {
+        let Some(to) = domain.receiver(now, far, &mut self.rng) else {
             return;
         };
         let high = summary.low + summary.spread;
@@ -70,7 +87,6 @@
             summary.contacts.clear();
         }
         let message = Body::Summary(summary).into_shared();
-        let to = contact.link;
         effects.push(Effect::Send { to, message });
     }
 
--- a/crates/pimento_members/tests/hostile.rs
+++ b/crates/pimento_members/tests/hostile.rs
@@ -5,7 +5,8 @@
 use common::info;
 use pimento_core::Time;
 use pimento_members::{
-    Beat, Body, Config, Hello, Hint, InfoText, Leave, Members, Message, Named, ServiceText, Summary,
+    Beat, Body, Config, Hello, Hint, Info, InfoText, Leave, Members, Message, Named, ServiceText,
+    Summary,
 };
 use prost::Message as _;
 
@@ -42,6 +43,16 @@
 
 type Numbers = (u64, u32, u32, u64, Vec<u32>);
 
+/// The hash that stands for a VM in its heartbeats.
+fn run_of(name: u8, incarnation: u64) -> u32 {
+    let info = info((name % 3).into(), (name / 3).into(), 0);
+    Info {
+        incarnation,
+        ..info
+    }
+    .run()
+}
+
 /// A message that is well formed, but odd.
 fn odd(kind: u8, name: u8, (incarnation, interval, shape, version, numbers): Numbers) -> Message {
     let vm = format!("d{}-vm{}", name % 3, name / 3);
@@ -85,6 +96,7 @@
             summaries: vec![summary],
             link,
             live: shape,
+            run: run_of(name, incarnation),
         }),
         1 => Body::Hello(Hello {
             info: Some(InfoText {
