Let a stopping VM take no lease that another could

A stopping VM leaves itself out of the live entry VMs, but still weighed itself when a target announced itself there, and could take a lease only to hand it over at once.

--- a/crates/pimento_lease/src/leases.rs
+++ b/crates/pimento_lease/src/leases.rs
@@ -54,9 +54,10 @@
 
     /// Takes an announcement and gives the reply to it.
     ///
-    /// `live` lists the entry VMs of the failure domain that seem alive; it
-    /// may hold this VM or not. It decides who is offered the lease, and the
-    /// safety of the lease doesn't rest on it.
+    /// `live` lists the entry VMs of the failure domain that seem alive. It
+    /// decides who is offered the lease, and the safety of the lease doesn't
+    /// rest on it. A VM that is stopping leaves itself out, and then takes no
+    /// lease that another one could.
     pub fn announce(
         &mut self,
         now: Time,
@@ -331,7 +332,10 @@
         // The target left its holder, so that one is no choice.
         let left = ann.token.as_ref().map(|t| &t.holder);
         let others = live.iter().filter(|c| c.vm != *me && Some(&c.vm) != left);
-        let best = choice::best(&ann.target, others.chain([&own]))?;
+        let others: Vec<_> = others.collect();
+        let stays = others.is_empty() || live.iter().any(|c| c.vm == *me);
+        let own = stays.then_some(&own);
+        let best = choice::best(&ann.target, others.into_iter().chain(own))?;
         if best.vm == *me {
             return None;
         }
--- a/crates/pimento_lease/tests/takeover.rs
+++ b/crates/pimento_lease/tests/takeover.rs
@@ -112,6 +112,16 @@
     assert_eq!(vm.release(at(1_000), &t1(), 0, &live), None);
 }
 
+#[test]
+fn stopping_vm() {
+    for vm in 1..4 {
+        let (mut ann, mut vm) = (target(1, vm..=vm), leases(vm));
+        exchange(at(0), &mut ann, &mut vm, &[candidate(9)]);
+        let (to, _) = ann.next(at(20)).expect("due");
+        assert_eq!(to, listener(9), "the other VM takes it");
+    }
+}
+
 #[test]
 fn skipped_epoch() {
     let (mut ann, mut old) = held();
