Let a few requests find out when headroom is too old

Change: headroom older than 2.5 s counts as unknown in place of none, and the bounded growth of moved load lets a few requests find out; what the other side can't serve it refuses as not run.

--- a/crates/pimento_steer/src/config.rs
+++ b/crates/pimento_steer/src/config.rs
@@ -7,7 +7,7 @@
 pub struct SteerConfig {
     /// The most entry VMs that a look-up names.
     pub entries: usize,
-    /// Headroom that was measured longer ago than this is not spent.
+    /// Headroom that was measured longer ago than this says nothing.
     pub max_age: Duration,
     /// Headroom halves with each such time since it was measured.
     pub half_life: Duration,
@@ -41,7 +41,7 @@
     fn default() -> Self {
         Self {
             entries: 6,
-            max_age: Duration::from_secs(5),
+            max_age: Duration::from_millis(2_500),
             half_life: Duration::from_secs(1),
             peer_trip: Duration::from_millis(1),
             domain_trip: Duration::from_millis(2),
--- a/crates/pimento_steer/src/route.rs
+++ b/crates/pimento_steer/src/route.rs
@@ -266,10 +266,13 @@
             let cost = left.cost(trip * 2);
             Choice { index, cost, left }
         });
-        // Without any place here, a place that is full is better than none.
         let spare = choices.filter(|choice| {
-            let open = choice.left.free >= 1.0 || least.is_infinite();
-            open && choice.cost < least
+            let age = now.since(self.view.domains[choice.index].time);
+            // Old headroom says nothing: a few requests find out, since the
+            // other side refuses what it can't serve. And without any place
+            // here, a place that is full is better than none.
+            let unknown = age > self.config.max_age || least.is_infinite();
+            (choice.left.free >= 1.0 || unknown) && choice.cost < least
         });
         let best = spare.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
         self.send_to_domain(now, ask, best.index)
