Tell other failure domains of a planned stop at once

Result: foreign_leave: unnamed in the other domain within two 100 ms ticks; without the relay the test fails.

--- a/crates/pimento_members/src/domain.rs
+++ b/crates/pimento_members/src/domain.rs
@@ -115,6 +115,15 @@
         self.contacts.push(contact);
     }
 
+    /// Stops naming a VM to callers and requests. It keeps its place, since the
+    /// numbers of summaries refer to contacts by place.
+    pub(crate) fn retire_contact(&mut self, vm: &str) {
+        if let Some(contact) = self.contacts.iter_mut().find(|c| c.vm.as_str() == vm) {
+            contact.callers = None;
+            contact.forwards = None;
+        }
+    }
+
     /// Where the next summary goes: to the domain's own delegate, so that the
     /// work of passing summaries on is spread, or, after silence for some
     /// intervals, to any VM that is known.
--- a/crates/pimento_members/src/members.rs
+++ b/crates/pimento_members/src/members.rs
@@ -14,6 +14,10 @@
 /// The most other failure domains that are kept.
 pub(crate) const MAX_DOMAINS: usize = 512;
 
+/// The contacts of each other domain that hear of a planned stop, so that one
+/// lost message does not matter.
+const RELAYS: usize = 2;
+
 /// One VM's view of its failure domain and of the others.
 #[derive(Debug)]
 pub struct Members {
@@ -123,14 +127,29 @@
         effects
     }
 
-    /// Tells the failure domain of a planned stop; nothing is sent afterwards.
+    /// Tells all failure domains of a planned stop; nothing is sent afterwards.
+    ///
+    /// Its own domain hears of it from this VM, and each other domain through a
+    /// contact, so that look-ups stop naming the VM at once everywhere.
     pub fn leave(&mut self, _now: Time) -> Vec<Effect> {
         self.left = true;
-        let leave = Leave {
+        let mut leave = Leave {
             vm: self.me.vm.to_string(),
             incarnation: self.me.incarnation,
+            relay: false,
         };
-        self.to_live(&Body::Leave(leave).into_shared())
+        let mut effects = self.to_live(&Body::Leave(leave.clone()).into_shared());
+        leave.relay = true;
+        let message = Body::Leave(leave).into_shared();
+        let contacts = self
+            .domains
+            .iter()
+            .flat_map(|d| d.contacts.iter().take(RELAYS));
+        effects.extend(contacts.map(|contact| Effect::Send {
+            to: contact.link,
+            message: Arc::clone(&message),
+        }));
+        effects
     }
 
     /// Sets the version of this VM's rules; the others hear of it at once.
--- a/crates/pimento_members/src/message.rs
+++ b/crates/pimento_members/src/message.rs
@@ -148,6 +148,9 @@
     /// Its incarnation.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
+    /// Whether a VM of another domain passes it on to its own.
+    #[prost(bool, tag = "3")]
+    pub relay: bool,
 }
 
 /// A failure domain as one of its VMs sums it up.
--- a/crates/pimento_members/src/receive.rs
+++ b/crates/pimento_members/src/receive.rs
@@ -1,8 +1,8 @@
 //! What members do on the messages of others.
 
 use crate::{
-    Beat, Effect, Leave, Members, Named, PeerState, ServiceLoad, Summary, domain::MAX_SERVICES,
-    wire,
+    Beat, Body, Effect, Leave, Members, Named, PeerState, ServiceLoad, Summary,
+    domain::MAX_SERVICES, wire,
 };
 use pimento_core::{Time, VmId};
 use std::{net::SocketAddr, time::Duration};
@@ -120,7 +120,7 @@
     /// Takes note of a planned stop.
     pub(crate) fn on_leave(&mut self, now: Time, leave: &Leave, effects: &mut Vec<Effect>) {
         let Ok(i) = self.find_peer(&leave.vm) else {
-            return;
+            return self.on_foreign_leave(leave, effects);
         };
         let peer = &self.peers[i];
         let same = peer.info.incarnation == leave.incarnation;
@@ -129,6 +129,21 @@
         }
     }
 
+    /// Stops naming a VM of another domain, and passes the news on if this VM
+    /// is to.
+    fn on_foreign_leave(&mut self, leave: &Leave, effects: &mut Vec<Effect>) {
+        for domain in &mut self.domains {
+            domain.retire_contact(&leave.vm);
+        }
+        if leave.relay {
+            let leave = Leave {
+                relay: false,
+                ..leave.clone()
+            };
+            effects.extend(self.to_live(&Body::Leave(leave).into_shared()));
+        }
+    }
+
     /// Takes a summary from another domain, and keeps it for the next round of
     /// heartbeats.
     pub(crate) fn on_summary(&mut self, now: Time, summary: Summary, effects: &mut Vec<Effect>) {
--- a/crates/pimento_members/tests/common/mod.rs
+++ b/crates/pimento_members/tests/common/mod.rs
@@ -122,14 +122,19 @@
     pub fn run(&mut self, seconds: u64) {
         let end = self.now + Duration::from_secs(seconds);
         while self.now < end {
-            self.now += TICK;
-            self.deliver();
-            for node in 0..self.nodes.len() {
-                let now = self.now;
-                let members = self.nodes[node].members.as_mut();
-                let effects = members.map(|m| m.tick(now));
-                self.apply(node, effects.unwrap_or_default());
-            }
+            self.step();
+        }
+    }
+
+    /// Runs for one tick, in which a message and its answer can pass.
+    pub fn step(&mut self) {
+        self.now += TICK;
+        self.deliver();
+        for node in 0..self.nodes.len() {
+            let now = self.now;
+            let members = self.nodes[node].members.as_mut();
+            let effects = members.map(|m| m.tick(now));
+            self.apply(node, effects.unwrap_or_default());
         }
     }
 
--- a/crates/pimento_members/tests/domains.rs
+++ b/crates/pimento_members/tests/domains.rs
@@ -145,3 +145,19 @@
     net.run(60);
     assert!(net.covers(3, 15));
 }
+
+#[test]
+fn foreign_leave() {
+    let mut net = Net::new(&[3, 3], 9);
+    net.run(15);
+    let named = |net: &Net, node: usize| {
+        let domain = net.members(node).domain("d1").expect("known");
+        let contact = domain.contacts.iter().find(|c| &*c.vm == "d1-vm1");
+        contact.is_some_and(|c| c.callers.is_some())
+    };
+    assert!((0..3).all(|node| named(&net, node)));
+    net.leave(4);
+    net.step();
+    net.step();
+    assert!((0..3).all(|node| !named(&net, node)));
+}
--- a/crates/pimento_members/tests/hostile.rs
+++ b/crates/pimento_members/tests/hostile.rs
@@ -113,7 +113,11 @@
             hints: vec![hint; 100],
             summaries: vec![summary],
         }),
-        2 => Body::Leave(Leave { vm, incarnation }),
+        2 => Body::Leave(Leave {
+            vm,
+            incarnation,
+            relay: incarnation % 2 == 0,
+        }),
         _ => Body::Summary(Summary {
             hint: Some(hint),
             ..summary
