--- a/crates/pimento_ledger/src/limits.rs
+++ b/crates/pimento_ledger/src/limits.rs
@@ -37,10 +37,10 @@
 pub const MAX_TENANT_CLAIMS: usize = 125_000;
 
 /// The most resources with places taken or a limit of their own.
-pub const MAX_RESOURCES: usize = 200_000;
+pub const MAX_RESOURCES: usize = 100_000;
 
 /// The most places taken over all resources.
-pub const MAX_PLACES: usize = 1_000_000;
+pub const MAX_PLACES: usize = 500_000;
 
 /// The longest name of a resource, in bytes.
 pub const MAX_RESOURCE: usize = 256;
--- a/crates/pimento_ledger/src/places.rs
+++ b/crates/pimento_ledger/src/places.rs
@@ -24,7 +24,7 @@
 
 /// The capped resources.
 ///
-/// A tree, since up to 200,000 resources come and go in any order.
+/// A tree, since up to 100,000 resources come and go in any order.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct Places {
     resources: BTreeMap<ResourceId, Resource>,
--- a/crates/pimento_ledger/src/snapshot.rs
+++ b/crates/pimento_ledger/src/snapshot.rs
@@ -4,8 +4,9 @@
     Answer, Field, Holder, Ledger, Slot,
     check::{check_holder, check_print, check_resource, check_slot},
     claims::{Entry, Id, Status},
-    places::Resource,
+    places::{Resource, ResourceId},
 };
+use pimento_core::VmId;
 use prost::Message as _;
 
 /// A snapshot of a ledger is damaged.
@@ -59,28 +60,36 @@
 
 impl Ledger {
     /// Encodes the whole ledger.
+    ///
+    /// The claims and resources are written one at a time, which encodes the
+    /// same message as all at once, without a second copy in memory.
     pub fn snapshot(&self) -> Vec<u8> {
-        let process = |(vm, instance): &(pimento_core::VmId, u64)| Holder {
+        let process = |(vm, instance): &(VmId, u64)| Holder {
             vm: vm.to_string(),
             instance: *instance,
             attempt: 0,
         };
-        let claims = self.claims.iter();
-        let resources = self.places.iter();
-        let wire = WireLedger {
+        let head = WireLedger {
             now: self.now,
-            claims: claims.map(|(id, entry)| pack_claim(id, entry)).collect(),
-            resources: resources
-                .map(|(id, resource)| WireResource {
-                    service: id.service.to_string(),
-                    name: id.name.to_string(),
-                    limit: resource.limit,
-                    taken: resource.taken.iter().map(pack_id).collect(),
-                })
-                .collect(),
             processes: self.processes.iter().map(process).collect(),
+            ..WireLedger::default()
         };
-        wire.encode_to_vec()
+        let mut bytes = head.encode_to_vec();
+        for (id, entry) in self.claims.iter() {
+            let part = WireLedger {
+                claims: vec![pack_claim(id, entry)],
+                ..WireLedger::default()
+            };
+            bytes.extend(part.encode_to_vec());
+        }
+        for (id, resource) in self.places.iter() {
+            let part = WireLedger {
+                resources: vec![pack_resource(id, resource)],
+                ..WireLedger::default()
+            };
+            bytes.extend(part.encode_to_vec());
+        }
+        bytes
     }
 
     /// Decodes what [`Self::snapshot`] encoded.
@@ -121,6 +130,15 @@
     wire
 }
 
+fn pack_resource(id: &ResourceId, resource: &Resource) -> WireResource {
+    WireResource {
+        service: id.service.to_string(),
+        name: id.name.to_string(),
+        limit: resource.limit,
+        taken: resource.taken.iter().map(pack_id).collect(),
+    }
+}
+
 fn unpack(wire: &WireLedger) -> Result<Ledger, Field> {
     let mut ledger = Ledger {
         now: wire.now,
--- a/crates/pimento_rules/src/apply.rs
+++ b/crates/pimento_rules/src/apply.rs
@@ -223,7 +223,10 @@
         let exists = old.blocks.get(net).is_some();
         place.check(change.kind, exists, || net.to_string())?;
         let edit = match place.op {
-            Op::Add(block) | Op::Change(block) => Edit::Put(share(new, block)),
+            Op::Add(block) | Op::Change(block) => Edit::Put(Block {
+                net: block.net,
+                domain: new.shared(block.domain.clone()),
+            }),
             Op::Withdraw => Edit::Drop(*net),
         };
         edits.push(edit);
@@ -233,15 +236,6 @@
     Ok(blocks)
 }
 
-/// A block that shares the text of its domain's name with the domain.
-pub(crate) fn share(rules: &Rules, block: &Block) -> Block {
-    let domain = rules.domain(&block.domain);
-    Block {
-        net: block.net,
-        domain: domain.map_or_else(|| block.domain.clone(), |domain| domain.name.clone()),
-    }
-}
-
 /// Checks that every name which the note mentions stands for something.
 fn check_names(rules: &Rules, note: &Note) -> Checked {
     for (list, items) in [("added", &note.added), ("changed", &note.changed)] {
--- a/crates/pimento_rules/src/push.rs
+++ b/crates/pimento_rules/src/push.rs
@@ -124,7 +124,7 @@
         let mut wire = WireItems::decode(page.body.as_slice())
             .ok()
             .ok_or(Damaged)?;
-        let part = unpack_blocks(wire.blocks.take().as_ref())?;
+        let part = wire.blocks.take();
         let named = wire.unpack()?;
         if i > 0 && !named.is_empty() {
             return Err(Damaged);
@@ -135,7 +135,7 @@
             rules.links = named.links;
             rules.services = named.services;
         }
-        blocks.extend(part.iter().map(|block| crate::apply::share(&rules, block)));
+        blocks.extend(unpack_blocks(part.as_ref(), |name| rules.shared(name))?);
     }
     let sorted = rules.is_sorted() && blocks.is_sorted_by(|a, b| a.net < b.net);
     if !sorted {
--- a/crates/pimento_rules/src/rules.rs
+++ b/crates/pimento_rules/src/rules.rs
@@ -1,6 +1,7 @@
 //! The rules in force after a release note.
 
 use crate::{Blocks, Domain, Link, Region, Service};
+use pimento_core::DomainId;
 use serde::{Deserialize, Serialize};
 
 /// The rules in force, each list sorted by name.
@@ -50,4 +51,11 @@
         let found = self.domains.binary_search_by(|d| d.name.as_str().cmp(name));
         found.ok().map(|i| &self.domains[i])
     }
+
+    /// The same name, sharing its text with the domain of that name, so that
+    /// millions of blocks hold each name once.
+    pub(crate) fn shared(&self, name: DomainId) -> DomainId {
+        self.domain(&name)
+            .map_or(name, |domain| domain.name.clone())
+    }
 }
--- a/crates/pimento_rules/src/wire.rs
+++ b/crates/pimento_rules/src/wire.rs
@@ -167,7 +167,7 @@
             domains: all(&self.domains, WireDomain::unpack)?,
             links: all(&self.links, WireLink::unpack)?,
             services: all(&self.services, WireService::unpack)?,
-            blocks: unpack_blocks(self.blocks.as_ref())?,
+            blocks: unpack_blocks(self.blocks.as_ref(), |name| name)?,
         })
     }
 }
@@ -367,12 +367,12 @@
         Ok(nets)
     }
 
-    fn unpack(&self) -> Checked<Vec<Block>> {
+    fn unpack(&self, share: impl Fn(DomainId) -> DomainId) -> Checked<Vec<Block>> {
         let nets = self.nets()?;
         if nets.len() != self.indexes.len() {
             return Err(Damaged);
         }
-        let domains: Vec<DomainId> = all(&self.domains, |s| name(s))?;
+        let domains: Vec<DomainId> = all(&self.domains, |s| name(s).map(&share))?;
         let block = |(net, index): (IpNet, &u32)| {
             let domain = domains.get(*index as usize).ok_or(Damaged)?.clone();
             Ok(Block { net, domain })
@@ -381,7 +381,11 @@
     }
 }
 
-/// Decodes the blocks of a list that may be absent.
-pub(crate) fn unpack_blocks(wire: Option<&WireBlocks>) -> Checked<Vec<Block>> {
-    wire.map_or(Ok(vec![]), WireBlocks::unpack)
+/// Decodes the blocks of a list that may be absent; `share` may replace the
+/// name of a domain by an equal one that shares its text.
+pub(crate) fn unpack_blocks(
+    wire: Option<&WireBlocks>,
+    share: impl Fn(DomainId) -> DomainId,
+) -> Checked<Vec<Block>> {
+    wire.map_or(Ok(vec![]), |wire| wire.unpack(share))
 }
