Test cut pairs, late greetings and the age of summaries

Three deliberate faults in members went unnoticed: an older incarnation taken in, suspicions never answered, and the time on the way of a summary left out of its age. Each now fails a test.

--- a/crates/pimento_members/tests/common/mod.rs
+++ b/crates/pimento_members/tests/common/mod.rs
@@ -34,6 +34,8 @@
     pub nodes: Vec<Node>,
     /// The share of messages that are lost, in percent.
     pub loss: u32,
+    /// Two nodes that can't reach each other.
+    pub pair: Option<(usize, usize)>,
     rng: SmallRng,
     flights: BinaryHeap<Flight>,
     messages: Vec<Option<Arc<Message>>>,
@@ -67,6 +69,7 @@
             now: Time::ZERO,
             nodes: Vec::new(),
             loss: 0,
+            pair: None,
             rng: SmallRng::seed_from_u64(seed),
             flights: BinaryHeap::new(),
             messages: Vec::new(),
@@ -170,8 +173,11 @@
                 self.nodes[node].events.push((self.now, effect));
                 continue;
             };
-            let receiver = self.nodes.iter().find(|n| n.info.link == to);
-            let reached = receiver.is_some_and(|r| r.group == self.nodes[node].group);
+            let receiver = self.nodes.iter().position(|n| n.info.link == to);
+            let reached = receiver.is_some_and(|r| {
+                let apart = self.pair == Some((r, node)) || self.pair == Some((node, r));
+                self.nodes[r].group == self.nodes[node].group && !apart
+            });
             if !reached || self.rng.random_range(0..100) < self.loss {
                 continue;
             }
--- a/crates/pimento_members/tests/domain.rs
+++ b/crates/pimento_members/tests/domain.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::Net;
-use pimento_members::{Effect, PeerState};
+use pimento_members::{Body, Effect, Hello, InfoText, Message, PeerState};
 
 #[test]
 fn all_join() {
@@ -123,3 +123,51 @@
     let own = net.nodes[0].events.iter().filter(|(_, e)| dead(e));
     assert_eq!(own.count(), 0, "the sleeper suspects and waits");
 }
+
+#[test]
+fn cut_pair() {
+    let mut net = Net::new(&[4], 10);
+    net.run_until(5, Net::agrees);
+    net.pair = Some((0, 1));
+    net.run(60);
+    assert_eq!(net.deaths(), 0, "the others vouch for both");
+    assert!(net.agrees());
+}
+
+#[test]
+fn late_greeting() {
+    let mut net = Net::new(&[2], 11);
+    net.run_until(5, Net::agrees);
+    let old = net.nodes[1].info.clone();
+    net.nodes[1].info.link = common::address(50);
+    net.restart(1);
+    net.run_until(10, |net| {
+        net.members(0)
+            .peer("d0-vm1")
+            .expect("known")
+            .info
+            .incarnation
+            == 2
+    });
+    let text = InfoText {
+        vm: old.vm.to_string(),
+        region: old.region.to_string(),
+        domain: old.domain.to_string(),
+        incarnation: old.incarnation,
+        link: vec![10, 0, 0, 1, 1, 1],
+        ..InfoText::default()
+    };
+    let hello = Hello {
+        info: Some(text),
+        ..Hello::default()
+    };
+    let body = Some(Body::Hello(hello));
+    let now = net.now;
+    let members = net.nodes[0].members.as_mut().expect("running");
+    members.receive(now, Message { body });
+    let peer = members.peer("d0-vm1").expect("known");
+    assert_eq!(
+        (peer.info.incarnation, peer.info.link),
+        (2, common::address(50))
+    );
+}
--- a/crates/pimento_members/tests/domains.rs
+++ b/crates/pimento_members/tests/domains.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::Net;
-use pimento_members::{Effect, ServiceLoad};
+use pimento_members::{Body, ContactText, Effect, Members, Message, ServiceLoad, Summary};
 
 fn load(service: &str, slots: u32, free: u32) -> ServiceLoad {
     ServiceLoad {
@@ -145,3 +145,34 @@
     net.run(60);
     assert!(net.covers(3, 15));
 }
+
+#[test]
+fn summary_age() {
+    let mut net = Net::new(&[1], 9);
+    let summary = Summary {
+        domain: "d7".into(),
+        region: "r7".into(),
+        age: 5_000,
+        contacts: vec![ContactText {
+            vm: "d7-vm0".into(),
+            link: vec![10, 9, 9, 9, 1, 1],
+            ..ContactText::default()
+        }],
+        ..Summary::default()
+    };
+    net.run(1);
+    let now = net.now;
+    let members = net.nodes[0].members.as_mut().expect("running");
+    let receive = |members: &mut Members, age| {
+        let summary = Summary {
+            age,
+            ..summary.clone()
+        };
+        let body = Some(Body::Summary(summary));
+        members.receive(now, Message { body });
+        members.domain("d7").expect("known").age(now).as_secs()
+    };
+    assert_eq!(receive(members, 5_000), 5, "the time on the way counts");
+    assert_eq!(receive(members, 9_000), 5, "an older one is ignored");
+    assert_eq!(receive(members, 2_000), 2);
+}
