--- a/crates/pimento_control/src/actor.rs
+++ b/crates/pimento_control/src/actor.rs
@@ -15,7 +15,7 @@
 use pimento_rules::Rules;
 use pimento_settings::Peer;
 use pimento_state::State;
-use pimento_storage::{Folder, Store, StoreError};
+use pimento_storage::{Disk as Files, Folder, Store, StoreError};
 use prost::Message as _;
 use std::{
     net::SocketAddr,
@@ -51,6 +51,8 @@
     pub(crate) rules: Arc<Rules>,
     /// The last entry applied to the state, and its term.
     pub(crate) applied: (u64, u64),
+    /// The size of the entries applied since the newest snapshot, in bytes.
+    pub(crate) grown: usize,
     /// Absent while a write is under way, and after a failed one.
     disk: Option<Disk>,
     /// Writes that gather while another one is under way.
@@ -85,8 +87,23 @@
     /// Returns an error that names the file if the data folder is in use, is
     /// damaged or can't be written.
     pub fn start(config: ControlConfig, links: Links, log: Logger) -> anyhow::Result<Addr<Self>> {
+        let folder = Folder::open(&config.data)?;
+        Self::start_on(Box::new(folder), config, links, log)
+    }
+
+    /// Starts the replica on other files than those of the data folder.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::start`].
+    pub fn start_on(
+        files: Box<dyn Files>,
+        config: ControlConfig,
+        links: Links,
+        log: Logger,
+    ) -> anyhow::Result<Addr<Self>> {
         let hub = links.clone();
-        let control = Self::open(config, links, log)?;
+        let control = Self::open(files, config, links, log)?;
         let arbiter = Arbiter::new();
         let addr = Self::start_in_arbiter(&arbiter.handle(), |_| control);
         hub.subscribe(Channel::Consensus, addr.clone().recipient());
@@ -95,9 +112,13 @@
         Ok(addr)
     }
 
-    fn open(config: ControlConfig, links: Links, log: Logger) -> anyhow::Result<Self> {
-        let folder = Folder::open(&config.data)?;
-        let (mut store, opened) = Store::open(folder)?;
+    fn open(
+        files: Box<dyn Files>,
+        config: ControlConfig,
+        links: Links,
+        log: Logger,
+    ) -> anyhow::Result<Self> {
+        let (mut store, opened) = Store::open(files)?;
         let file = config.data.display();
         if opened.cut > 0 {
             event!(log, Event::TailCut, "folder" => %file, "bytes" => opened.cut);
@@ -127,6 +148,7 @@
             state: State::default(),
             rules: Arc::default(),
             applied: (0, 0),
+            grown: 0,
             disk: Some(Disk { store, identity }),
             queue: Vec::new(),
             leading: false,
--- a/crates/pimentod/src/run.rs
+++ b/crates/pimentod/src/run.rs
@@ -1,20 +1,39 @@
 //! Running the roles of the settings.
 
 use anyhow::Context;
+use pimento_control::{Control, ControlConfig, Propose, Shutdown};
 use pimento_entry::{Entry, Sockets};
 use pimento_link::{Key, Links};
-use pimento_settings::Settings;
-use std::{fs, path::Path};
+use pimento_log::{Event, Logger, event};
+use pimento_rules::Note;
+use pimento_settings::{Role, Settings};
+use pimento_state::Command;
+use std::{
+    fs,
+    path::Path,
+    time::{SystemTime, UNIX_EPOCH},
+};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// How often a note is proposed again while the group has no leader.
+const APPLY_TRIES: u32 = 5;
+
+/// The parts of a running process.
+#[derive(Debug)]
+pub struct Process {
+    entry: Entry,
+    replica: Option<actix::Addr<Control>>,
+    log: Logger,
+}
+
 /// Reads the settings and serves until a planned stop.
 pub fn run(path: &Path) -> anyhow::Result<()> {
     let settings = Settings::load(path)?;
     let sockets = Sockets::bind(&settings.listen)?;
     actix_rt::System::new().block_on(async {
-        let entry = start(&settings, sockets)?;
-        wait().await?;
-        entry.stop().await;
+        let process = Process::start(&settings, sockets)?;
+        process.wait().await?;
+        process.stop().await;
         Ok(())
     })
 }
@@ -30,23 +49,90 @@
     Ok(())
 }
 
-/// Starts the parts of a process.
-pub fn start(settings: &Settings, sockets: Sockets) -> anyhow::Result<Entry> {
-    let log = pimento_log::root(&settings.vm);
-    let key = &settings.secrets.links;
-    let key = fs::read(key).with_context(|| format!("secrets.links: {}", key.display()))?;
-    let listener = sockets.links.try_clone()?;
-    let links = Links::start(settings.vm.clone(), Key::new(key), listener, log.clone())?;
-    Entry::start(settings, sockets, links, &log)
-}
+impl Process {
+    /// Starts the parts that the roles call for.
+    pub fn start(settings: &Settings, sockets: Sockets) -> anyhow::Result<Self> {
+        let log = pimento_log::root(&settings.vm);
+        let links = start_links(settings, &sockets, &log)?;
+        let replica = match &settings.data {
+            Some(data) if settings.has(Role::Control) => {
+                let config = ControlConfig {
+                    vm: settings.vm.clone(),
+                    peers: settings.control.clone(),
+                    data: data.clone(),
+                    seed: rand::random(),
+                };
+                Some(Control::start(config, links.clone(), log.clone())?)
+            }
+            _ => None,
+        };
+        let entry = Entry::start(settings, sockets, links, replica.clone(), &log)?;
+        event!(log, Event::VmStarted, "roles" => ?settings.roles);
+        Ok(Self {
+            entry,
+            replica,
+            log,
+        })
+    }
 
-/// Waits for the signal of a planned stop.
-pub async fn wait() -> anyhow::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+    /// Puts a release note in force on this VM's control group, once it has a
+    /// leader; a note that is in force already is left as it is.
+    pub async fn apply(&self, note: &Note) -> anyhow::Result<()> {
+        let replica = self
+            .replica
+            .as_ref()
+            .context("the VM has no control role")?;
+        let time = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64;
+        let command = Command::note(time, note);
+        let mut tries = 0;
+        loop {
+            match replica
+                .send(Propose {
+                    command: command.clone(),
+                })
+                .await?
+            {
+                Ok(_) => return Ok(()),
+                Err(e) if tries == APPLY_TRIES => return Err(e.into()),
+                Err(_) => tries += 1,
+            }
+        }
     }
-    Ok(())
+
+    /// Waits for the signal, or an operator's command, of a planned stop.
+    pub async fn wait(&self) -> anyhow::Result<()> {
+        let mut term = signal(SignalKind::terminate())?;
+        let mut int = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+            () = self.entry.drained() => {}
+        }
+        Ok(())
+    }
+
+    /// Stops gracefully: no request in flight is cut off, and the data folder
+    /// is free afterwards.
+    pub async fn stop(self) {
+        event!(self.log, Event::StopBegun);
+        let cut = self.entry.stop().await;
+        if let Some(replica) = self.replica {
+            // A replica that has stopped by itself has nothing left to free.
+            replica.send(Shutdown).await.unwrap_or_default();
+        }
+        event!(self.log, Event::StopEnded, "cut" => cut);
+    }
+}
+
+fn start_links(settings: &Settings, sockets: &Sockets, log: &Logger) -> anyhow::Result<Links> {
+    let path = &settings.secrets.links;
+    let key = fs::read(path).with_context(|| format!("secrets.links: {}", path.display()))?;
+    let listener = sockets.links.try_clone()?;
+    let vm = settings.vm.clone();
+    Ok(Links::start(
+        vm,
+        Key::new(key.trim_ascii()),
+        listener,
+        log.clone(),
+    )?)
 }
