--- a/crates/pimento_steer/src/route.rs
+++ b/crates/pimento_steer/src/route.rs
@@ -266,12 +266,16 @@
             let cost = left.cost(trip * 2);
             Choice { index, cost, left }
         });
+        let rule = self.service(ask.service);
+        let repeatable = rule.is_some_and(|rule| rule.repeatable);
         let spare = choices.filter(|choice| {
             let age = now.since(self.view.domains[choice.index].time);
             // Old headroom says nothing: a few requests find out, since the
-            // other side refuses what it can't serve. And without any place
+            // other side refuses what it can't serve; but if it is gone, they
+            // end in doubt, so they must be repeatable. And without any place
             // here, a place that is full is better than none.
-            let unknown = age > self.config.max_age || least.is_infinite();
+            let old = repeatable && age > self.config.max_age;
+            let unknown = old || least.is_infinite();
             (choice.left.free >= 1.0 || unknown) && choice.cost < least
         });
         let best = spare.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
--- a/crates/pimento_steer/tests/route.rs
+++ b/crates/pimento_steer/tests/route.rs
@@ -117,6 +117,12 @@
     // what each of five domains with six slots can answer at 30 ms.
     let found_out = (0..1_000).filter(|_| away(4_000)).count();
     assert!((1..=50).contains(&found_out), "{found_out}");
+    // A request that must not run twice is not risked.
+    let mut rules = rules();
+    rules.services = vec![rule(false)];
+    steer.set_rules(at(6_000), &rules, std::sync::Arc::default());
+    let hop = steer.route(at(6_000), &ask(&service, full(6, 9), &[]));
+    assert_eq!(hop.as_ref().map(domain_of), Some(HOME));
 }
 
 #[test]
