Move hand-overs of leases into a module of their own

Releases and referrals now stand by themselves, and a VM can list the targets that it gave up, so that it can tell the next holder when its last requests there have ended.

Measured: all tests of the crate pass; the hand-over test now also checks that a second release lowers the carried slots.

--- a/crates/pimento_lease/src/leases.rs
+++ b/crates/pimento_lease/src/leases.rs
@@ -2,35 +2,30 @@
 
 use crate::{
     AnnounceReply, Announcement, Candidate, Cause, Effect, LeaseConfig, Release, Token, View,
-    choice,
     record::{Record, Stage},
 };
 use pimento_core::{TargetId, Time};
 use std::{net::SocketAddr, time::Duration};
 
 /// The most targets that one VM keeps in mind.
-const MAX_TARGETS: usize = 4_096;
+pub(crate) const MAX_TARGETS: usize = 4_096;
 
 /// The terms after which a silent target or an unused release is forgotten.
 const FORGET: u32 = 10;
 
-/// The terms within which a target that was sent to another VM and comes back
-/// is taken, since it evidently couldn't reach that VM.
-const REFERRAL: u32 = 5;
-
 /// The interval before the echo of an offer or a visit to another VM.
 const HURRY: Duration = Duration::from_millis(20);
 
 /// The leases that one entry VM holds, offers or has given up.
 #[derive(Debug)]
 pub struct Leases {
-    config: LeaseConfig,
+    pub(crate) config: LeaseConfig,
     /// Ascending by target.
-    records: Vec<Record>,
+    pub(crate) records: Vec<Record>,
     /// Releases by other VMs, ascending by target.
-    releases: Vec<(Time, Release)>,
+    pub(crate) releases: Vec<(Time, Release)>,
     /// The newest serial; serials are unique within the process.
-    serial: u64,
+    pub(crate) serial: u64,
 }
 
 /// What an announcement leads to.
@@ -111,61 +106,6 @@
         }
     }
 
-    /// Gives a lease up in a planned hand-over.
-    ///
-    /// The permission ends at once. `used` counts this VM's requests that the
-    /// target still runs. Returns the next holder and the release to send to
-    /// it. Called again with fewer requests, it returns the release that tells
-    /// the next holder so. Returns `None` if this VM may not send itself or
-    /// knows no other VM.
-    pub fn release(
-        &mut self,
-        now: Time,
-        target: &TargetId,
-        used: u32,
-        live: &[Candidate],
-    ) -> Option<(Candidate, Release)> {
-        let i = self.find(target).ok()?;
-        let others = live.iter().filter(|c| c.vm != self.config.me);
-        let record = &mut self.records[i];
-        let to = match &record.stage {
-            Stage::Held { from, .. } if *from <= now => choice::best(target, others)?.clone(),
-            Stage::Released { to, .. } => to.clone(),
-            _ => return None,
-        };
-        record.stage = Stage::Released {
-            at: now,
-            to: to.clone(),
-        };
-        let release = Release {
-            target: target.to_string(),
-            life: record.facts.instance,
-            epoch: record.epoch,
-            holder: self.config.me.to_string(),
-            instance: self.config.instance,
-            used: used.saturating_add(record.carried),
-            drained: record.drained,
-        };
-        Some((to, release))
-    }
-
-    /// Takes a release by another VM.
-    pub fn accept(&mut self, now: Time, release: Release) -> Vec<Effect> {
-        let effects = self.lower(&release);
-        let key = release.target.as_str();
-        let found = self
-            .releases
-            .binary_search_by(|(_, r)| r.target.as_str().cmp(key));
-        match found {
-            Ok(i) => self.releases[i] = (now, release),
-            Err(i) if self.releases.len() < MAX_TARGETS => {
-                self.releases.insert(i, (now, release));
-            }
-            Err(_) => {}
-        }
-        effects
-    }
-
     /// Starts or ends an operator's drain of a held target.
     pub fn drain(&mut self, target: &TargetId, drained: bool) -> Vec<Effect> {
         let Ok(i) = self.find(target) else {
@@ -196,7 +136,7 @@
         (now < view.until).then_some(view)
     }
 
-    fn find(&self, target: &TargetId) -> Result<usize, usize> {
+    pub(crate) fn find(&self, target: &TargetId) -> Result<usize, usize> {
         self.records
             .binary_search_by(|r| r.facts.target.cmp(target))
     }
@@ -305,84 +245,6 @@
         Answer::Own
     }
 
-    /// The other VM that the target should go to, if this one shouldn't offer.
-    fn refer(
-        &mut self,
-        now: Time,
-        i: usize,
-        ann: &Announcement,
-        live: &[Candidate],
-    ) -> Option<SocketAddr> {
-        let me = &self.config.me;
-        let recent = |at: Time| now.since(at) < self.config.term * REFERRAL;
-        let record = &self.records[i];
-        if let Stage::Released { at, to } = &record.stage
-            && recent(*at)
-            && live.iter().any(|c| c.vm == to.vm)
-        {
-            return Some(to.listener);
-        }
-        if record.referred.is_some_and(recent) || self.expects(ann) {
-            return None;
-        }
-        let own = Candidate {
-            vm: me.clone(),
-            listener: self.config.listener,
-        };
-        // The target left its holder, so that one is no choice.
-        let left = ann.token.as_ref().map(|t| &t.holder);
-        let others = live.iter().filter(|c| c.vm != *me && Some(&c.vm) != left);
-        let others: Vec<_> = others.collect();
-        let stays = others.is_empty() || live.iter().any(|c| c.vm == *me);
-        let own = stays.then_some(&own);
-        let best = choice::best(&ann.target, others.into_iter().chain(own))?;
-        if best.vm == *me {
-            return None;
-        }
-        self.records[i].referred = Some(now);
-        Some(best.listener)
-    }
-
-    /// Whether a release names this target's token.
-    fn expects(&self, ann: &Announcement) -> bool {
-        let Some(token) = &ann.token else {
-            return false;
-        };
-        self.released(&ann.target)
-            .is_some_and(|r| r.epoch == token.epoch && r.holder == token.holder.as_str())
-    }
-
-    fn released(&self, target: &TargetId) -> Option<&Release> {
-        let found = self
-            .releases
-            .binary_search_by(|(_, r)| r.target.as_str().cmp(target));
-        Some(&self.releases[found.ok()?].1)
-    }
-
-    /// The release that lets this VM send without a wait, if there is one.
-    fn matching(&self, i: usize) -> Option<&Release> {
-        let record = &self.records[i];
-        let release = self.released(&record.facts.target)?;
-        record.follows(release).then_some(release)
-    }
-
-    /// Lowers the carried slots when the former holder's requests have ended.
-    fn lower(&mut self, release: &Release) -> Vec<Effect> {
-        let found = self
-            .records
-            .binary_search_by(|r| r.facts.target.as_str().cmp(&release.target));
-        let Ok(i) = found else {
-            return Vec::new();
-        };
-        let record = &mut self.records[i];
-        let held = matches!(record.stage, Stage::Held { .. });
-        if !held || !record.follows(release) || release.used >= record.carried {
-            return Vec::new();
-        }
-        record.carried = release.used;
-        vec![changed(record)]
-    }
-
     /// A reply with this VM's own token and a new serial.
     fn own_reply(&mut self, now: Time, i: usize) -> AnnounceReply {
         self.serial += 1;
@@ -446,7 +308,7 @@
     }
 }
 
-fn changed(record: &Record) -> Effect {
+pub(crate) fn changed(record: &Record) -> Effect {
     Effect::Changed {
         target: record.facts.target.clone(),
     }
--- a/crates/pimento_lease/src/lib.rs
+++ b/crates/pimento_lease/src/lib.rs
@@ -9,6 +9,7 @@
 mod choice;
 mod config;
 mod effect;
+mod handover;
 mod leases;
 mod record;
 mod release;
--- a/crates/pimento_lease/tests/takeover.rs
+++ b/crates/pimento_lease/tests/takeover.rs
@@ -101,6 +101,12 @@
     exchange(at(3_520), &mut ann, &mut new, &live);
     exchange(at(3_540), &mut ann, &mut new, &live);
     assert!(new.permit(at(3_540), &t1()).is_some(), "nothing waits");
+    let carried = |vm: &Leases| vm.view(at(3_540), &t1()).expect("held").carried;
+    let before = carried(&new);
+    assert!(old.given_up().eq([&t1()]));
+    let (_, ended) = old.release(at(3_550), &t1(), 1, &live).expect("given up");
+    new.accept(at(3_560), ended);
+    assert_eq!(carried(&new), before - 1, "one request has ended");
 }
 
 #[test]
