--- a/crates/pimento_cli/src/args.rs
+++ b/crates/pimento_cli/src/args.rs
@@ -17,14 +17,14 @@
 #[derive(Debug, Parser)]
 #[command(name = "pimento", version)]
 pub struct Args {
-    /// Operators' listeners, such as `http://10.0.0.1:7300`; separated by
-    /// commas and tried in turn.
+    /// Operators' listeners, such as `10.0.0.1:7300`; separated by commas and
+    /// tried in turn.
     #[arg(
         long,
         global = true,
         env = "PIMENTO_SERVER",
         value_delimiter = ',',
-        default_value = "http://127.0.0.1:7300"
+        default_value = "127.0.0.1:7300"
     )]
     pub server: Vec<String>,
     /// The file that holds the operators' bearer token.
@@ -188,8 +188,8 @@
     #[arg(
         long,
         env = "PIMENTO_CALLERS",
-        default_value = "http://127.0.0.1:7100",
-        value_name = "URL"
+        default_value = "127.0.0.1:7100",
+        value_name = "ADDRESS"
     )]
     pub callers: String,
 }
--- a/crates/pimento_cli/src/client.rs
+++ b/crates/pimento_cli/src/client.rs
@@ -60,15 +60,12 @@
         timeout: Duration,
     ) -> Result<Self, Failure> {
         let token = token.map(read_token).transpose()?;
-        let servers = servers.iter().map(|s| s.trim_end_matches('/').to_owned());
-        let servers: Vec<String> = servers.filter(|s| !s.is_empty()).collect();
+        let servers = servers.iter().map(|s| s.trim().trim_end_matches('/'));
+        let servers = servers.filter(|s| !s.is_empty()).map(url);
+        let servers = servers.collect::<Result<Vec<_>, _>>()?;
         if servers.is_empty() {
             return Err(Failure::usage("--server: at least one is needed"));
         }
-        if let Some(bad) = servers.iter().find(|s| !s.starts_with("http://")) {
-            let text = format!("--server: {bad} is no URL that begins with http://");
-            return Err(Failure::usage(text));
-        }
         Ok(Self {
             servers,
             token,
@@ -199,6 +196,18 @@
     }
 }
 
+/// The URL of a server, which may be given as an address alone.
+fn url(server: &str) -> Result<String, Failure> {
+    match server.split_once("://") {
+        None => Ok(format!("http://{server}")),
+        Some(("http", _)) => Ok(server.to_owned()),
+        Some((scheme, _)) => {
+            let text = format!("{server}: {scheme} is not spoken, only http");
+            Err(Failure::usage(text))
+        }
+    }
+}
+
 fn read_token(path: &Path) -> Result<String, Failure> {
     let text = std::fs::read_to_string(path);
     let text = text.map_err(|e| Failure::usage(format!("{}: {e}", path.display())))?;
--- a/crates/pimento_cli/src/wait.rs
+++ b/crates/pimento_cli/src/wait.rs
@@ -79,17 +79,14 @@
 /// The versions in one status: that of the VM itself, those of the other VMs
 /// of its failure domain, and the lowest one of each other failure domain.
 fn reported(status: &Value) -> Vec<InForce> {
-    let node = status.get("node").unwrap_or(&Value::Null);
     let list = |name| {
-        node.get(name)
+        status
+            .get(name)
             .and_then(Value::as_array)
             .into_iter()
             .flatten()
     };
-    let alive = |peer: &&Value| {
-        let state = peer.get("state").and_then(Value::as_str);
-        matches!(state, Some("alive" | "suspect"))
-    };
+    let alive = |vm: &&Value| vm.get("alive") == Some(&Value::Bool(true));
     let live = |domain: &&Value| domain.get("live") != Some(&Value::from(0));
     let vm = |vm: &Value| {
         let name = vm.get("vm")?.as_str()?;
@@ -101,7 +98,7 @@
         let low = domain.get("low")?.as_u64()?;
         Some(InForce::new(format!("domain {name}"), low))
     };
-    let vms = std::iter::once(node).chain(list("peers").filter(alive));
+    let vms = std::iter::once(status).chain(list("vms").filter(alive));
     let domains = list("domains").filter(live);
     let vms = vms.filter_map(vm);
     vms.chain(domains.filter_map(domain)).collect()
