--- a/crates/pimento_cli/src/wait.rs
+++ b/crates/pimento_cli/src/wait.rs
@@ -80,8 +80,11 @@
 /// of its failure domain, and the lowest one of each other failure domain.
 fn reported(status: &Value) -> Vec<InForce> {
     let list = |name| {
-        let list = status.get(name).and_then(Value::as_array);
-        list.into_iter().flatten()
+        status
+            .get(name)
+            .and_then(Value::as_array)
+            .into_iter()
+            .flatten()
     };
     let alive = |vm: &&Value| vm.get("alive") == Some(&Value::Bool(true));
     let live = |domain: &&Value| domain.get("live") != Some(&Value::from(0));
--- a/crates/pimento_cli/tests/apply.rs
+++ b/crates/pimento_cli/tests/apply.rs
@@ -132,6 +132,7 @@
     let problem = r#"{"detail":"no leader","verdict":"not-run"}"#;
     let (first, one) = serve(vec![Reply::Say(503, problem)]);
     let (second, two) = serve(vec![Reply::Say(200, ACCEPTED)]);
+    let second = second.trim_start_matches("http://");
     let servers = format!("{},{first},{second}", nobody());
     let output = apply(&servers, &[]);
     assert_eq!(code(&output), Some(0), "{output:?}");
@@ -164,6 +165,12 @@
     assert_eq!(code(&output), Some(5), "{output:?}");
 }
 
+#[test]
+fn other_scheme() {
+    let output = apply("https://127.0.0.1:1", &[]);
+    assert_eq!(code(&output), Some(2), "{output:?}");
+}
+
 #[test]
 fn wait_for_all() {
     let behind = r#"{"vm":"a","version":2,"vms":[{"vm":"b","alive":true,"version":1},
