Let an operator's drain outlive the lease holder

Cause: a drained target took work again when its holder was killed, and a stopping VM told the next holder of its running requests only once. Change: all live entry VMs of the failure domain remember the drain of a target's process and apply it when they take the lease; a released lease is told again while its requests run.

--- a/crates/pimento_entry/src/node.rs
+++ b/crates/pimento_entry/src/node.rs
@@ -1,6 +1,7 @@
 //! The actor that owns the decision cores of an entry VM.
 
 mod admission;
+mod draining;
 mod leasing;
 mod membership;
 mod messages;
@@ -39,6 +40,14 @@
 /// The time between two looks at membership.
 const MEMBER_TICK: Duration = Duration::from_millis(100);
 
+/// The channels whose messages are for the node.
+const CHANNELS: [Channel; 4] = [
+    Channel::Members,
+    Channel::Lease,
+    Channel::Rules,
+    Channel::Drain,
+];
+
 /// A request that waits for a slot.
 type Waiter = (u64, oneshot::Sender<Result<Grant, Refusal>>);
 
@@ -67,6 +76,8 @@
     steer: Steer,
     /// Ascending by request.
     waiters: Vec<Waiter>,
+    /// Ascending by target.
+    drains: Vec<draining::Drained>,
     stopping: bool,
 }
 
@@ -114,6 +125,7 @@
             members: Members::new(member, now, instance),
             steer: Steer::new(SteerConfig::default(), home, instance),
             waiters: Vec::new(),
+            drains: Vec::new(),
             stopping: false,
             settings,
         }
@@ -136,7 +148,7 @@
             node.tick_view();
             node.tick_rules();
         });
-        for channel in [Channel::Members, Channel::Lease, Channel::Rules] {
+        for channel in CHANNELS {
             self.links.subscribe(channel, ctx.address().recipient());
         }
     }
--- a/crates/pimento_entry/src/node/leasing.rs
+++ b/crates/pimento_entry/src/node/leasing.rs
@@ -1,6 +1,6 @@
 //! Target leases and what they change in admission.
 
-use super::{Announce, BeginStop, Drain, Node};
+use super::{Announce, BeginStop, Node};
 use actix::prelude::*;
 use pimento_admit::{Report, TargetView};
 use pimento_core::{TargetId, Time, VmId};
@@ -22,18 +22,6 @@
     }
 }
 
-impl Handler<Drain> for Node {
-    type Result = bool;
-
-    fn handle(&mut self, msg: Drain, _ctx: &mut Self::Context) -> bool {
-        let now = self.now();
-        let effects = self.leases.drain(&msg.target, true);
-        let known = !effects.is_empty();
-        self.leased(now, effects);
-        known
-    }
-}
-
 impl Handler<BeginStop> for Node {
     type Result = ();
 
@@ -68,6 +56,7 @@
             match effect {
                 Effect::Taken { target, epoch, .. } => {
                     event!(self.log, Event::LeaseTaken, "target" => %target, "epoch" => epoch);
+                    self.drain_again(now, &target);
                     self.offer(now, &target);
                 }
                 Effect::Changed { target } => self.offer(now, &target),
@@ -109,7 +98,9 @@
     fn release_all(&mut self) {
         let now = self.now();
         let live = self.live();
-        let held: Vec<TargetId> = self.leases.held(now).map(|v| v.target.clone()).collect();
+        // What was given up earlier is told again while requests still run.
+        let held = self.leases.held(now).map(|view| view.target);
+        let held: Vec<TargetId> = held.chain(self.leases.given_up()).cloned().collect();
         for target in held {
             let used = self.admit.in_use(&target);
             if let Some((to, release)) = self.leases.release(now, &target, used, &live) {
@@ -119,9 +110,7 @@
             }
         }
     }
-}
 
-impl Node {
     /// Tells the next holder of a released lease.
     fn hand_over(&self, to: &Candidate, release: &Release) {
         if let Some(link) = self.link_of(&to.vm) {
--- a/crates/pimento_entry/src/node/membership.rs
+++ b/crates/pimento_entry/src/node/membership.rs
@@ -30,6 +30,7 @@
                 }
             }
             Channel::Rules => self.serve_rules(msg),
+            Channel::Drain => self.on_drain(&msg),
             Channel::Alive | Channel::Consensus | Channel::Control => {}
         }
     }
--- a/crates/pimento_lease/src/record.rs
+++ b/crates/pimento_lease/src/record.rs
@@ -225,6 +225,7 @@
         };
         Some(View {
             target: &self.facts.target,
+            instance: self.facts.instance,
             service: &self.facts.service,
             address: self.facts.address,
             slots: self.facts.slots,
@@ -245,6 +246,8 @@
 pub struct View<'a> {
     /// The target.
     pub target: &'a TargetId,
+    /// The start of the target's process.
+    pub instance: u64,
     /// The service that the target serves.
     pub service: &'a ServiceId,
     /// Where the target takes requests.
--- a/crates/pimento_link/src/envelope.rs
+++ b/crates/pimento_link/src/envelope.rs
@@ -26,6 +26,8 @@
     Rules = 4,
     /// Releases of target leases.
     Lease = 5,
+    /// Operators' drains of targets.
+    Drain = 6,
 }
 
 /// One message on a link.
--- a/crates/pimento_log/src/event.rs
+++ b/crates/pimento_log/src/event.rs
@@ -62,6 +62,8 @@
     LeaseTaken = 401, Info, "target lease taken";
     /// This VM no longer holds the lease of a target.
     LeaseLost = 402, Info, "target lease ended";
+    /// An operator drained a target.
+    TargetDrained = 403, Info, "target drained by an operator";
     /// A request failed.
     RequestFailed = 501, Info, "request failed";
     /// An announcement was refused.
