Give each control VM of a test its own loopback host

no_quorum failed once in three runs: a cluster of another test had taken the port of a VM between two binds. Each VM now has its own address in 127.0.0.0/8, so that no other test can get its port.

--- a/crates/pimento_control/tests/support/mod.rs
+++ b/crates/pimento_control/tests/support/mod.rs
@@ -13,8 +13,11 @@
 use pimento_settings::Peer;
 use pimento_storage::Folder;
 use std::{
-    net::{SocketAddr, TcpListener},
-    sync::{Arc, atomic::AtomicBool},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU8, Ordering},
+    },
     time::Duration,
 };
 
@@ -42,7 +45,7 @@
             full: (0..size).map(|_| Arc::default()).collect(),
         };
         for i in 0..size {
-            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let listener = TcpListener::bind((own_host(), 0)).unwrap();
             let vm = VmId::new(format!("c{i}")).unwrap();
             let address = listener.local_addr().unwrap();
             cluster.arbiters.push(None);
@@ -139,6 +142,13 @@
     }
 }
 
+/// A loopback host that no other VM of this process has, so that nobody else
+/// takes its port while it is stopped.
+fn own_host() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(2);
+    Ipv4Addr::new(127, 0, 0, NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
 /// Binds an address again, which an outgoing connection of another test may
 /// hold as its own for a while.
 fn bind(address: SocketAddr) -> TcpListener {
