Ask the next server when one can't drain what it doesn't hold

An entry VM answers 421 to the drain of a target that another one holds; the command line gave up there. It now asks the next server given, and ends as refused if none holds it.

--- a/crates/pimento_cli/src/client.rs
+++ b/crates/pimento_cli/src/client.rs
@@ -232,7 +232,7 @@
         let exit = match status {
             _ if unsure => Exit::Unknown,
             400 | 413 | 422 => Exit::Usage,
-            401 | 403 | 404 | 409 => Exit::Refused,
+            401 | 403 | 404 | 409 | 421 => Exit::Refused,
             _ => Exit::Failed,
         };
         Failure::new(exit, self.describe(server, status))
--- a/crates/pimento_cli/tests/apply.rs
+++ b/crates/pimento_cli/tests/apply.rs
@@ -140,6 +140,20 @@
     two.join().expect("the script");
 }
 
+#[test]
+fn other_holder() {
+    let problem = r#"{"detail":"this VM does not hold it"}"#;
+    let (first, one) = serve(vec![Reply::Say(421, problem); 2]);
+    let (second, two) = serve(vec![Reply::Say(200, "{}")]);
+    let servers = format!("{first},{second}");
+    let output = pimento(&servers, &["target", "drain", "t-1"]);
+    assert_eq!(code(&output), Some(0), "{output:?}");
+    let output = pimento(&first, &["target", "drain", "t-1"]);
+    assert_eq!(code(&output), Some(3), "{output:?}");
+    one.join().expect("the script");
+    two.join().expect("the script");
+}
+
 #[test]
 fn refusals() {
     let conflict = r#"{"detail":"note 2 was accepted with digest cd","field":"number"}"#;
