--- a/crates/pimento_control/src/handlers.rs
+++ b/crates/pimento_control/src/handlers.rs
@@ -4,7 +4,7 @@
     Backup, Change, Control, ControlError, ControlStatus, Fault, GetStatus, Propose, Query,
     RulesChanged, Shutdown, Subscribe, View, client,
     waiters::{Done, Late, Purpose, Reader},
-    wire::{Answer, Ask, Question, Reply},
+    wire::{Answer, Ask, NotLeader, Question, Reply},
 };
 use actix::prelude::*;
 use bytes::Bytes;
@@ -19,13 +19,18 @@
 /// The longest wait of a caller for a quorum.
 pub(crate) const LIMIT: Duration = Duration::from_secs(5);
 
+/// How long a leader that stops waits for the next one: an election without a
+/// timeout takes two messages each way and a sync.
+const HANDOVER: Duration = Duration::from_millis(300);
+
 type Asked = std::pin::Pin<Box<dyn Future<Output = Result<Answer, ControlError>>>>;
 
 impl Control {
     /// Answers a question if this VM leads.
     fn take(&mut self, question: &Question, done: Done, ctx: &mut Context<Self>) {
         if self.failed {
-            return done.send(ControlError::not_run(Fault::DiskFailed));
+            // Another control VM can still answer.
+            return done.send(Answer::NotLeader(NotLeader::default()));
         }
         match question {
             Question::Propose(payload) => self.propose(payload.clone(), done, ctx),
@@ -39,8 +44,11 @@
     }
 
     fn propose(&mut self, payload: Bytes, done: Done, ctx: &mut Context<Self>) {
-        if Command::decode(payload.clone()).is_err() {
+        let Ok(command) = Command::decode(payload.clone()) else {
             return done.send(ControlError::not_run(Fault::Malformed));
+        };
+        if let Some(answer) = self.fenced(&command) {
+            return done.send(answer);
         }
         self.serial += 1;
         let id = self.serial;
@@ -108,10 +116,30 @@
         Box::pin(viewed)
     }
 
+    /// Asks another VM to lead, if this one does, and leaves it some time.
+    fn hand_over(&mut self, ctx: &mut Context<Self>) -> impl Future<Output = ()> + use<> {
+        let leads = !self.failed && self.raft.status().role == Role::Leader;
+        if leads {
+            let effects = self.raft.hand_over(self.now());
+            self.run(effects, ctx);
+        }
+        let alone = self.raft.members().voters().count() < 2;
+        let wait = if leads && !alone {
+            HANDOVER
+        } else {
+            Duration::ZERO
+        };
+        tokio::time::sleep(wait)
+    }
+
     /// Waits until an index is applied here.
     fn wait_applied(&mut self, index: u64) -> oneshot::Receiver<Answer> {
         let (sender, receiver) = oneshot::channel();
         let done = Done::new(move |answer| drop(sender.send(answer)));
+        if self.failed {
+            done.send(ControlError::not_run(Fault::DiskFailed));
+            return receiver;
+        }
         let deadline = self.now() + LIMIT;
         self.late.push(Late {
             index,
@@ -213,8 +241,9 @@
 impl Handler<Shutdown> for Control {
     type Result = ResponseActFuture<Self, ()>;
 
-    fn handle(&mut self, _: Shutdown, _: &mut Context<Self>) -> Self::Result {
-        let freed = self.halt().into_actor(self);
+    fn handle(&mut self, _: Shutdown, ctx: &mut Context<Self>) -> Self::Result {
+        let wait = self.hand_over(ctx).into_actor(self);
+        let freed = wait.then(|(), control, _| control.halt().into_actor(control));
         Box::pin(freed.map(|_, _, ctx| ctx.stop()))
     }
 }
--- a/crates/pimento_lease/tests/takeover.rs
+++ b/crates/pimento_lease/tests/takeover.rs
@@ -89,6 +89,8 @@
 #[test]
 fn planned_release() {
     let (mut ann, mut old) = held();
+    // With all slots in use, reports can't show any of them free.
+    ann.set_load(6);
     let mut new = leases(2);
     let live = [candidate(1), candidate(2)];
     let carried = old.view(at(3_000), &t1()).expect("held").carried;
@@ -101,6 +103,14 @@
     exchange(at(3_520), &mut ann, &mut new, &live);
     exchange(at(3_540), &mut ann, &mut new, &live);
     assert!(new.permit(at(3_540), &t1()).is_some(), "nothing waits");
+    let carried = |vm: &Leases| vm.view(at(3_540), &t1()).expect("held").carried;
+    let before = carried(&new);
+    assert!(old.given_up().eq([&t1()]));
+    let (_, ended) = old.release(at(3_550), &t1(), 0, &live).expect("given up");
+    let rest = ended.used;
+    assert!(rest < before, "both requests have ended");
+    new.accept(at(3_560), ended);
+    assert_eq!(carried(&new), rest);
 }
 
 #[test]
@@ -112,6 +122,16 @@
     assert_eq!(vm.release(at(1_000), &t1(), 0, &live), None);
 }
 
+#[test]
+fn stopping_vm() {
+    for vm in 1..4 {
+        let (mut ann, mut vm) = (target(1, vm..=vm), leases(vm));
+        exchange(at(0), &mut ann, &mut vm, &[candidate(9)]);
+        let (to, _) = ann.next(at(20)).expect("due");
+        assert_eq!(to, listener(9), "the other VM takes it");
+    }
+}
+
 #[test]
 fn skipped_epoch() {
     let (mut ann, mut old) = held();
--- a/crates/pimento_members/src/members.rs
+++ b/crates/pimento_members/src/members.rs
@@ -14,6 +14,10 @@
 /// The most other failure domains that are kept.
 pub(crate) const MAX_DOMAINS: usize = 512;
 
+/// The contacts of each other domain that hear of a planned stop, so that one
+/// lost message does not matter.
+const RELAYS: usize = 2;
+
 /// One VM's view of its failure domain and of the others.
 #[derive(Debug)]
 pub struct Members {
@@ -123,14 +127,29 @@
         effects
     }
 
-    /// Tells the failure domain of a planned stop; nothing is sent afterwards.
+    /// Tells all failure domains of a planned stop; nothing is sent afterwards.
+    ///
+    /// Its own domain hears of it from this VM, and each other domain through a
+    /// contact, so that look-ups stop naming the VM at once everywhere.
     pub fn leave(&mut self, _now: Time) -> Vec<Effect> {
         self.left = true;
-        let leave = Leave {
+        let mut leave = Leave {
             vm: self.me.vm.to_string(),
             incarnation: self.me.incarnation,
+            relay: false,
         };
-        self.to_live(&Body::Leave(leave).into_shared())
+        let mut effects = self.to_live(&Body::Leave(leave.clone()).into_shared());
+        leave.relay = true;
+        let message = Body::Leave(leave).into_shared();
+        let contacts = self
+            .domains
+            .iter()
+            .flat_map(|d| d.contacts.iter().take(RELAYS));
+        effects.extend(contacts.map(|contact| Effect::Send {
+            to: contact.link,
+            message: Arc::clone(&message),
+        }));
+        effects
     }
 
     /// Sets the version of this VM's rules; the others hear of it at once.
@@ -210,18 +229,25 @@
     }
 
     /// Works out what follows from the live VMs and the known domains.
+    ///
+    /// The domains are dealt out to the live VMs in the order of their names,
+    /// so that each VM is the delegate for about as many. VMs that disagree on
+    /// who lives may both be the delegate for a domain or, for a moment,
+    /// neither; the next interval makes up for it.
     fn refresh(&mut self) {
         if !std::mem::take(&mut self.stale) {
             return;
         }
         let peers = self.peers.iter().filter(|p| p.is_live());
         let mut vms: Vec<&VmId> = peers.map(|p| &p.info.vm).collect();
-        self.domains
-            .iter_mut()
-            .for_each(|d| d.choose_delegate(&self.me.vm, &vms));
-        vms.push(&self.me.vm);
-        vms.sort();
-        self.digest = hash::fnv(vms.iter().map(|vm| vm.as_bytes())) as u32;
+        let rank = vms.partition_point(|vm| **vm < self.me.vm);
+        vms.insert(rank, &self.me.vm);
+        for (place, domain) in self.domains.iter_mut().enumerate() {
+            domain.set_mine(place % vms.len() == rank);
+        }
+        let vms = vms.iter().map(|vm| vm.as_bytes());
+        let domains = self.domains.iter().map(|d| d.id.as_bytes());
+        self.digest = hash::fnv(vms.chain(domains)) as u32;
     }
 
     /// Changes the state of a VM and says so if that matters to others.
--- a/crates/pimento_members/src/receive.rs
+++ b/crates/pimento_members/src/receive.rs
@@ -1,8 +1,8 @@
 //! What members do on the messages of others.
 
 use crate::{
-    Beat, Effect, Leave, Members, Named, PeerState, ServiceLoad, Summary, domain::MAX_SERVICES,
-    wire,
+    Beat, Body, Effect, Leave, Members, Named, PeerState, ServiceLoad, Summary,
+    domain::MAX_SERVICES, wire,
 };
 use pimento_core::{Time, VmId};
 use std::{net::SocketAddr, time::Duration};
@@ -49,24 +49,17 @@
     /// The known VM that sent a heartbeat; an unknown one is greeted, and one
     /// that has stopped is ignored.
     fn sender(&mut self, now: Time, beat: &Beat) -> Option<usize> {
-        if beat.vm == self.me.vm.as_str() {
-            return None;
+        if let Some(i) = self.peers.iter().position(|p| p.run == beat.run) {
+            return (self.peers[i].state != PeerState::Left).then_some(i);
         }
-        let link = wire::decode(&beat.link);
-        let Ok(i) = self.find_peer(&beat.vm) else {
-            if let Some(link) = link {
-                self.ask(now, link);
-            }
-            return None;
-        };
-        let peer = &self.peers[i];
-        if beat.incarnation > peer.info.incarnation {
-            let link = link.unwrap_or(peer.info.link);
+        let known = self.peer(&beat.vm).map(|p| p.info.incarnation);
+        let newer = known.is_none_or(|known| known < beat.incarnation);
+        if let Some(link) = wire::decode(&beat.link)
+            && newer
+        {
             self.ask(now, link);
-            return None;
         }
-        let same = beat.incarnation == peer.info.incarnation;
-        (same && peer.state != PeerState::Left).then_some(i)
+        None
     }
 
     fn take_loads(&mut self, now: Time, i: usize, beat: &Beat) {
@@ -127,7 +120,7 @@
     /// Takes note of a planned stop.
     pub(crate) fn on_leave(&mut self, now: Time, leave: &Leave, effects: &mut Vec<Effect>) {
         let Ok(i) = self.find_peer(&leave.vm) else {
-            return;
+            return self.on_foreign_leave(leave, effects);
         };
         let peer = &self.peers[i];
         let same = peer.info.incarnation == leave.incarnation;
@@ -136,6 +129,21 @@
         }
     }
 
+    /// Stops naming a VM of another domain, and passes the news on if this VM
+    /// is to.
+    fn on_foreign_leave(&mut self, leave: &Leave, effects: &mut Vec<Effect>) {
+        for domain in &mut self.domains {
+            domain.retire_contact(&leave.vm);
+        }
+        if leave.relay {
+            let leave = Leave {
+                relay: false,
+                ..leave.clone()
+            };
+            effects.extend(self.to_live(&Body::Leave(leave).into_shared()));
+        }
+    }
+
     /// Takes a summary from another domain, and keeps it for the next round of
     /// heartbeats.
     pub(crate) fn on_summary(&mut self, now: Time, summary: Summary, effects: &mut Vec<Effect>) {
@@ -146,13 +154,16 @@
             return;
         };
         let sender = summary.sender.as_ref().and_then(wire::contact);
-        if let Some(sender) = sender {
+        if let Some(sender) = &sender {
             self.newer(summary.version, &sender.vm, sender.link, effects);
-            self.domains[i].add_contact(sender);
+            self.domains[i].add_contact(sender.clone());
         }
+        let link = sender.map(|s| s.link);
+        let changed = self.domains[i].partner != link;
         if self.take_summary(now, &summary) {
+            let tell = changed || !summary.contacts.is_empty();
             self.domains[i].relay = Some(Summary {
-                sender: None,
+                sender: summary.sender.filter(|_| tell),
                 hint: None,
                 version: 0,
                 ..summary
