Restore a backup from the daemon's command line

Cause: the page on control VMs named a command that did not exist, and a role option of the command line had no effect.

--- a/crates/pimento_cli/src/args.rs
+++ b/crates/pimento_cli/src/args.rs
@@ -205,9 +205,6 @@
         vm: VmId,
         /// Its link address.
         address: SocketAddr,
-        /// What the VM becomes.
-        #[arg(long, value_enum, default_value = "voter")]
-        role: Role,
     },
     /// Removes a VM from the group.
     Remove {
@@ -216,25 +213,6 @@
     },
 }
 
-/// What a VM is in the control group.
-#[derive(Clone, Copy, Debug, ValueEnum)]
-pub enum Role {
-    /// Takes part in every quorum, once it has caught up.
-    Voter,
-    /// Receives the log without taking part in quorums.
-    Learner,
-}
-
-impl Role {
-    /// The name of the role in the operators' interface.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Voter => "voter",
-            Self::Learner => "learner",
-        }
-    }
-}
-
 /// Where a copy goes.
 #[derive(Debug, clap::Args)]
 pub struct Backup {
--- a/crates/pimento_cli/src/control.rs
+++ b/crates/pimento_cli/src/control.rs
@@ -18,8 +18,8 @@
 pub async fn run(client: &Client, command: Control, out: Output) -> Result<(), Failure> {
     let done = match command {
         Control::Status => client.get("/v1/control").await?,
-        Control::Add { vm, address, role } => {
-            let body = json!({ "vm": vm, "address": address, "role": role.as_str() });
+        Control::Add { vm, address } => {
+            let body = json!({ "vm": vm, "address": address });
             let body = body.to_string().into_bytes();
             progress(format!("adding {vm}; it votes once it has caught up"));
             client
--- a/crates/pimento_entry/src/operators.rs
+++ b/crates/pimento_entry/src/operators.rs
@@ -201,6 +201,7 @@
 }
 
 #[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
 struct NewMember {
     vm: VmId,
     address: SocketAddr,
--- a/crates/pimentod/src/args.rs
+++ b/crates/pimentod/src/args.rs
@@ -27,6 +27,16 @@
         #[arg(long)]
         settings: PathBuf,
     },
+    /// Writes a backup into the empty data folder of a control VM, which then
+    /// founds a new group; see docs/ops/control.md for what a restore loses.
+    Restore {
+        /// The settings file.
+        #[arg(long)]
+        settings: PathBuf,
+        /// The backup, as `pimento backup` wrote it.
+        #[arg(long)]
+        backup: PathBuf,
+    },
     /// Runs all roles on loopback, with two stand-in targets, to try things out.
     Dev {
         /// The data folder; without it, state is lost at the end.
--- a/crates/pimentod/src/main.rs
+++ b/crates/pimentod/src/main.rs
@@ -19,6 +19,7 @@
     let result = match args.command {
         Command::Run { settings } => run::run(&settings),
         Command::Check { settings } => run::check(&settings),
+        Command::Restore { settings, backup } => run::restore(&settings, &backup),
         Command::Dev { data } => dev::run(data),
     };
     match result {
--- a/crates/pimentod/src/run.rs
+++ b/crates/pimentod/src/run.rs
@@ -1,7 +1,7 @@
 //! Running the roles of the settings.
 
 use anyhow::Context;
-use pimento_control::{Control, ControlConfig, Propose, Shutdown};
+use pimento_control::{Control, ControlConfig, Propose, Shutdown, restore_backup};
 use pimento_entry::{Entry, Sockets};
 use pimento_link::{Key, Links};
 use pimento_log::{Event, Logger, event};
@@ -49,6 +49,23 @@
     Ok(())
 }
 
+/// Writes a backup into an empty data folder.
+pub fn restore(path: &Path, backup: &Path) -> anyhow::Result<()> {
+    let settings = Settings::load(path)?;
+    let data = settings.data.as_ref();
+    let data = data.context("data: only a VM with the control role has a data folder")?;
+    let bytes = fs::read(backup).with_context(|| format!("{}", backup.display()))?;
+    let restored = restore_backup(&bytes, data, &settings.vm, &settings.control)
+        .with_context(|| format!("{}", backup.display()))?;
+    println!(
+        "{}: restored rules {} and the log up to entry {}",
+        data.display(),
+        restored.rules,
+        restored.index
+    );
+    Ok(())
+}
+
 impl Process {
     /// Starts the parts that the roles call for.
     pub fn start(settings: &Settings, sockets: Sockets) -> anyhow::Result<Self> {
