Build a changed block table beside the node

Cause: a table of 2 million blocks takes 0.3 s to build, and the node's actor built it while requests waited. Change: the table is built on a thread of its own; rules are put in force when it is done.

--- a/crates/pimento_entry/src/node.rs
+++ b/crates/pimento_entry/src/node.rs
@@ -68,6 +68,8 @@
     follower: Follower,
     sync: Sync,
     pulling: bool,
+    /// Whether the block table of newer rules is being built.
+    building: bool,
     next_ask: Time,
     table: Arc<BlockTable>,
     leases: Leases,
@@ -118,6 +120,7 @@
             follower: Follower::default(),
             sync: Sync::Starting { since: now },
             pulling: false,
+            building: false,
             next_ask: now,
             table: Arc::default(),
             leases: Leases::new(lease),
--- a/crates/pimento_entry/src/node/rules.rs
+++ b/crates/pimento_entry/src/node/rules.rs
@@ -27,6 +27,14 @@
 /// The time between two tries of a VM that has no confirmed rules yet.
 const START_EVERY: Duration = Duration::from_millis(500);
 
+/// Rules whose block table is built.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+struct Built {
+    rules: Arc<Rules>,
+    table: Arc<BlockTable>,
+}
+
 /// How far this VM is with its rules.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Sync {
@@ -59,6 +67,16 @@
     }
 }
 
+impl Handler<Built> for Node {
+    type Result = ();
+
+    fn handle(&mut self, msg: Built, _ctx: &mut Self::Context) {
+        self.building = false;
+        self.put_in_force(msg.rules, msg.table);
+        self.in_force();
+    }
+}
+
 impl Handler<RulesChanged> for Node {
     type Result = ();
 
@@ -163,29 +181,43 @@
         }
     }
 
-    /// Passes the follower's rules to the cores and the listeners.
+    /// Puts the follower's rules in force, if they are newer.
+    ///
+    /// A changed block table is built beside the actor, since a large one takes
+    /// longer than a request may wait.
     fn in_force(&mut self) {
         let rules = self.follower.rules();
-        let newer = rules.version > self.rules.load().version;
-        if self.sync != Sync::Serving || !newer {
+        let old = self.rules.load_full();
+        if self.sync != Sync::Serving || rules.version <= old.version || self.building {
             return;
         }
+        if rules.blocks == old.blocks {
+            let table = Arc::clone(&self.table);
+            return self.put_in_force(rules, table);
+        }
+        self.building = true;
+        let me = self.me.clone();
+        actix_rt::spawn(async move {
+            let built = actix_rt::task::spawn_blocking(move || {
+                let table = Arc::new(BlockTable::new(rules.blocks.iter()));
+                Built { rules, table }
+            });
+            if let Ok(built) = built.await {
+                me.do_send(built);
+            }
+        });
+    }
+
+    /// Passes rules to the cores and the listeners.
+    fn put_in_force(&mut self, rules: Arc<Rules>, table: Arc<BlockTable>) {
         let now = self.now();
-        let table = self.table(&rules);
+        self.table = Arc::clone(&table);
         self.steer.set_rules(now, &rules, table);
         self.members.set_version(rules.version);
         event!(self.log, Event::RulesApplied, "version" => rules.version);
         self.rules.store(rules);
     }
 
-    /// The block table of newer rules; the old one if no block changed.
-    fn table(&mut self, rules: &Rules) -> Arc<BlockTable> {
-        if self.rules.load().blocks != rules.blocks {
-            self.table = Arc::new(BlockTable::new(rules.blocks.iter()));
-        }
-        Arc::clone(&self.table)
-    }
-
     /// Answers another VM that lacks rules.
     pub(super) fn serve_rules(&self, msg: Incoming) {
         let Some(reply) = msg.reply else {
