--- a/scripts/drains.sh
+++ b/scripts/drains.sh
@@ -44,7 +44,7 @@
         --targets "$(joined "${targets[@]}")" >"$work/logs/load.json" 2>"$work/logs/load.err" || true
 }
 judge() { # WHAT
-    jq -r --arg what "$1" '"\($what): \(.sent) requests, \(.answered) answered, \(.lost + .truncated) cut off, \(.unanswered) without answer, \(.failed) failed with a verdict, \(.duplicates) repeated runs, p99 \(.latencies[-1].p99) ms"' "$work/logs/load.json"
+    jq -r --arg what "$1" '"\($what): \(.sent) requests, \(.answered) answered, \(.lost + .truncated) cut off, \(.unanswered) without answer, \(.failed) failed with a verdict, \(.unreachable) closed ports met, \(.duplicates) repeated runs, p99 \(.latencies[-1].p99) ms"' "$work/logs/load.json"
     jq -e '.broken == []' "$work/logs/load.json" >/dev/null || { jq -c '.broken, .failures' "$work/logs/load.json"; fail "$1 broke a promise"; }
 }
 millis() { date +%s%3N; }
@@ -78,13 +78,13 @@
 
 step="drained targets"
 for target in 0 3 6 9; do
-    name=t$((1 + target / 6))$((1 + target % 6))
+    drained=t$((1 + target / 6))$((1 + target % 6))
     load 6 &
     loading=$!
     sleep 2
     begun=$(millis)
     last=$begun
-    "$BIN/pimento" target drain "$name" >/dev/null
+    "$BIN/pimento" target drain "$drained" >/dev/null
     runs=$(counter "${targets[$target]}" runs)
     for ((i = 0; i < 60; i++)); do
         now=$(counter "${targets[$target]}" runs)
@@ -95,6 +95,6 @@
         sleep 0.05
     done
     wait "$loading"
-    judge "target $name drained, last new work after $((last - begun)) ms"
+    judge "target $drained drained, last new work after $((last - begun)) ms"
 done
 say "done in $SECONDS s"
