Cancel only what has run, and leave unreachable targets alone

Cause: a cancellation that ran before the request it names gave back a place that was then taken; a resend with renewed credentials was told not-run although the first attempt may have run; a dead target fails faster than others answer and drew ever more requests. Change: a cancellation is refused unless its request is known to have run; a key mismatch answers may-have-run, and the test expects the stricter verdict; targets that can't be reached are paused and count as a refusal; a request without a place to go asks again within its deadline.

--- a/crates/pimento_entry/src/claim.rs
+++ b/crates/pimento_entry/src/claim.rs
@@ -16,12 +16,13 @@
 };
 use bytes::Bytes;
 use percent_encoding::percent_decode_str;
-use pimento_control::ControlError;
+use pimento_control::{ControlError, Look, LookAt};
 use pimento_core::Verdict;
 use pimento_state::{
     Command, Effect, Op,
     ledger::{self, Cancel, Cause, Claim, Finish, Free, Holder, Kind, Slot},
 };
+use serde::Deserialize;
 use sha2::{Digest, Sha256};
 use std::time::Duration;
 use uuid::Uuid;
@@ -91,6 +92,9 @@
 ) -> Result<Claimed, Problem> {
     let cancelled = parse_key(inbound, headers::CANCELS)?;
     let resource = resource(inbound)?;
+    if let Some(key) = cancelled {
+        check_cancelled(shared, &slot(inbound, key)).await?;
+    }
     let held = Held {
         slot: slot(inbound, key),
         holder: Holder {
@@ -147,6 +151,28 @@
     }
 }
 
+/// A claim as the control group shows it.
+#[derive(Debug, Deserialize)]
+struct Shown {
+    state: String,
+}
+
+/// Lets only a request be cancelled that has certainly run.
+///
+/// One that has not would run after its cancellation, and its place would be
+/// given back all the same.
+async fn check_cancelled(shared: &Shared, slot: &Slot) -> Result<(), Problem> {
+    let look = Look::at(LookAt::Claim(slot.clone()));
+    let shown = shared.control.look(look).await.map_err(unreachable)?;
+    let shown = serde_json::from_slice::<Shown>(&shown).ok();
+    if shown.is_some_and(|claim| claim.state == "done") {
+        return Ok(());
+    }
+    let detail = "the request to cancel is not known to have run";
+    let problem = Problem::not_run(StatusCode::CONFLICT, "not-done", detail);
+    Err(problem.field(headers::CANCELS))
+}
+
 /// Whether the request counts against its resource's cap.
 fn takes_place(inbound: &Inbound, held: &Held) -> bool {
     let safe = matches!(inbound.method, Method::GET | Method::HEAD | Method::OPTIONS);
@@ -286,9 +312,11 @@
     match kind {
         Some(Kind::MayHaveRun(cause)) => may_have_run(cause),
         Some(Kind::Mismatch(())) => {
-            let detail = "the key was used for another request";
-            Problem::not_run(StatusCode::UNPROCESSABLE_ENTITY, "key-mismatch", detail)
-                .field(headers::KEY)
+            // The other request may be this one with renewed credentials.
+            let detail = "the key was used for a request that differs from this one";
+            let status = StatusCode::UNPROCESSABLE_ENTITY;
+            let problem = Problem::new(status, "key-mismatch", detail);
+            problem.with(Verdict::MayHaveRun).field(headers::KEY)
         }
         Some(Kind::CapFull(limit)) => {
             let detail = format!("the resource has no place left under its cap of {limit}");
--- a/crates/pimento_entry/src/dispatch.rs
+++ b/crates/pimento_entry/src/dispatch.rs
@@ -48,10 +48,10 @@
         Ok(answer) => Ok(guard(answer, permit, shared, now, inbound.deadline)),
         Err(lost) => {
             permit.end(lost.ending);
-            Err(Failed {
-                problem: lost.problem,
-                target: Some(target),
-            })
+            // A target that can't be reached had no attempt.
+            let target = (lost.ending != Ending::Unreachable).then_some(target);
+            let problem = lost.problem;
+            Err(Failed { problem, target })
         }
     }
 }
--- a/crates/pimento_entry/src/hops.rs
+++ b/crates/pimento_entry/src/hops.rs
@@ -43,7 +43,8 @@
             (Some(target), Verdict::NotRun) => Failure::Shed { target },
             (None, Verdict::NotRun) => Failure::Refused { vm: vm.clone() },
             (target, verdict) => {
-                let vm = None;
+                // Another target of the same VM may well answer.
+                let vm = target.is_none().then(|| vm.clone());
                 Failure::Failed {
                     verdict,
                     target,
@@ -119,22 +120,13 @@
     let mut body = Some(body);
     let mut last = None;
     while let Some(next) = again(&mut body) {
-        let Some(routed) = route(shared, inbound, attempts.vms()).await else {
-            break;
-        };
-        let attempt = Attempt {
-            shared,
-            clients,
-            inbound,
-            routed,
-        };
-        let failure = match hedge::send(&attempt, next, &mut attempts).await {
+        let failure = match attempt(shared, clients, inbound, next, &mut attempts).await {
             Ok(answer) => return Ok(answer),
             Err(failure) => failure,
         };
-        let next = decide(shared, &mut attempts, &failure);
+        let decision = decide(shared, &mut attempts, &failure);
         last = Some(failure.failed.problem);
-        match next {
+        match decision {
             Next::Retry { after } => tokio::time::sleep(after).await,
             Next::GiveUp { .. } => break,
         }
@@ -143,6 +135,30 @@
     Err(problem.with(attempts.verdict()))
 }
 
+/// Makes one attempt, with its hedge; no place to go counts as a refusal here.
+async fn attempt(
+    shared: &Shared,
+    clients: &Clients,
+    inbound: &Inbound,
+    body: Body,
+    attempts: &mut Attempts,
+) -> Result<Answer, Lost> {
+    let Some(routed) = route(shared, inbound, attempts.vms()).await else {
+        return Err(Lost {
+            failed: nowhere().into(),
+            vm: shared.settings.vm.clone(),
+            expected: Duration::ZERO,
+        });
+    };
+    let attempt = Attempt {
+        shared,
+        clients,
+        inbound,
+        routed,
+    };
+    hedge::send(&attempt, body, attempts).await
+}
+
 /// Sends a request that another entry VM forwarded, once: whether there is a
 /// further attempt is for the first entry VM to decide.
 pub(crate) async fn run_once(
--- a/crates/pimento_entry/src/upstream.rs
+++ b/crates/pimento_entry/src/upstream.rs
@@ -133,7 +133,7 @@
             StatusCode::BAD_GATEWAY,
             "unreachable",
             Verdict::NotRun,
-            Ending::Failed,
+            Ending::Unreachable,
         ),
         SendRequestError::Timeout => (
             StatusCode::GATEWAY_TIMEOUT,
--- a/crates/pimento_entry/tests/once.rs
+++ b/crates/pimento_entry/tests/once.rs
@@ -61,7 +61,7 @@
     post(&vm, "shift/7", &key, "me").await;
     let answer = post(&vm, "shift/7", &key, "you").await;
     assert_eq!(answer.status(), StatusCode::UNPROCESSABLE_ENTITY);
-    assert_eq!(verdict(&answer), Some("not-run"));
+    assert_eq!(verdict(&answer), Some("may-have-run"));
 }
 
 #[actix_rt::test]
@@ -106,6 +106,8 @@
     assert_eq!(answer.status(), StatusCode::CONFLICT);
     assert_eq!(verdict(&answer), Some("not-run"));
     assert_eq!(target.counters().runs, before + 2);
+    let answer = cancel(&vm, "shift/7", &key()).await;
+    assert_eq!(answer.status(), StatusCode::CONFLICT, "an unknown request");
     let answer = cancel(&vm, "shift/7", &first).await;
     assert_eq!(answer.status(), StatusCode::OK);
     tokio::time::sleep(Duration::from_millis(300)).await;
