Ask peers for rules while the control group is out of reach

Cause: a VM that restarted without a reachable quorum asked for confirmed rules for 3 s at a time and asked no peer meanwhile; the status of the control group took 1 s for each lost control VM. Change: both questions run side by side; control VMs are asked at once.

--- a/crates/pimento_control/src/client.rs
+++ b/crates/pimento_control/src/client.rs
@@ -5,6 +5,7 @@
     wire::{Answer, Ask, NotLeader, Question, Reply},
 };
 use bytes::Bytes;
+use futures_util::future::join_all;
 use pimento_consensus::Change as MemberChange;
 use pimento_link::{CallError, Channel, Links};
 use pimento_rules::{RulesPull, RulesPush};
@@ -82,16 +83,15 @@
     pub async fn statuses(&self) -> Vec<Bytes> {
         let question = Some(Question::Status(true));
         let payload = Bytes::from(Ask { question }.encode_to_vec());
-        let mut statuses = Vec::new();
-        for to in self.peers.iter() {
-            let call = self
-                .links
-                .call(*to, Channel::Control, payload.clone(), READ_LIMIT);
-            if let Ok(reply) = call.await {
-                statuses.extend(answer(reply).and_then(json));
-            }
-        }
-        statuses
+        let calls = self.peers.iter().map(|to| {
+            let payload = payload.clone();
+            self.links.call(*to, Channel::Control, payload, READ_LIMIT)
+        });
+        let replies = join_all(calls).await;
+        let answers = replies.into_iter().filter_map(Result::ok);
+        answers
+            .filter_map(|reply| answer(reply).and_then(json).ok())
+            .collect()
     }
 
     /// Adds or removes a control VM.
--- a/crates/pimento_entry/src/node.rs
+++ b/crates/pimento_entry/src/node.rs
@@ -67,9 +67,8 @@
     rules: Arc<ArcSwap<Rules>>,
     follower: Follower,
     sync: Sync,
-    pulling: bool,
-    /// Whether the block table of newer rules is being built.
-    building: bool,
+    /// What is under way to newer rules.
+    work: rules::Work,
     next_ask: Time,
     table: Arc<BlockTable>,
     leases: Leases,
@@ -119,8 +118,7 @@
             rules: parts.rules,
             follower: Follower::default(),
             sync: Sync::Starting { since: now },
-            pulling: false,
-            building: false,
+            work: rules::Work::default(),
             next_ask: now,
             table: Arc::default(),
             leases: Leases::new(lease),
--- a/crates/pimento_entry/src/node/rules.rs
+++ b/crates/pimento_entry/src/node/rules.rs
@@ -27,6 +27,17 @@
 /// The time between two tries of a VM that has no confirmed rules yet.
 const START_EVERY: Duration = Duration::from_millis(500);
 
+/// What is under way to newer rules, each at most once.
+#[derive(Debug, Default)]
+pub(super) struct Work {
+    /// Another VM is being asked for rules.
+    pulling: bool,
+    /// The control group is being asked for confirmed rules.
+    asking: bool,
+    /// The block table of newer rules is being built.
+    building: bool,
+}
+
 /// Rules whose block table is built.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -49,7 +60,11 @@
     type Result = ();
 
     fn handle(&mut self, msg: Pulled, _ctx: &mut Self::Context) {
-        self.pulling = false;
+        if msg.confirmed {
+            self.work.asking = false;
+        } else {
+            self.work.pulling = false;
+        }
         let Some(push) = msg.push else {
             return self.fall_back();
         };
@@ -71,7 +86,7 @@
     type Result = ();
 
     fn handle(&mut self, msg: Built, _ctx: &mut Self::Context) {
-        self.building = false;
+        self.work.building = false;
         self.put_in_force(msg.rules, msg.table);
         self.in_force();
     }
@@ -131,7 +146,7 @@
     }
 
     fn pull_from(&mut self, link: SocketAddr) {
-        if std::mem::replace(&mut self.pulling, true) {
+        if std::mem::replace(&mut self.work.pulling, true) {
             return;
         }
         let payload = Bytes::from(self.follower.request().encode_to_vec());
@@ -147,7 +162,7 @@
     }
 
     fn pull_confirmed(&mut self) {
-        if std::mem::replace(&mut self.pulling, true) {
+        if std::mem::replace(&mut self.work.asking, true) {
             return;
         }
         let pull = self.follower.request();
@@ -188,14 +203,14 @@
     fn in_force(&mut self) {
         let rules = self.follower.rules();
         let old = self.rules.load_full();
-        if self.sync != Sync::Serving || rules.version <= old.version || self.building {
+        if self.sync != Sync::Serving || rules.version <= old.version || self.work.building {
             return;
         }
         if rules.blocks == old.blocks {
             let table = Arc::clone(&self.table);
             return self.put_in_force(rules, table);
         }
-        self.building = true;
+        self.work.building = true;
         let me = self.me.clone();
         actix_rt::spawn(async move {
             let built = actix_rt::task::spawn_blocking(move || {
