--- a/crates/pimento_entry/src/node/messages.rs
+++ b/crates/pimento_entry/src/node/messages.rs
@@ -138,6 +138,8 @@
     pub(crate) service: ServiceId,
     pub(crate) address: SocketAddr,
     pub(crate) state: TargetState,
+    /// Whether this VM may send to it; a new holder waits for the old lease.
+    pub(crate) open: bool,
     pub(crate) slots: u32,
     pub(crate) used: u32,
     pub(crate) carried: u32,
--- a/crates/pimento_entry/src/node/status.rs
+++ b/crates/pimento_entry/src/node/status.rs
@@ -15,6 +15,7 @@
             service: view.service.clone(),
             address: view.address,
             state: view.state,
+            open: view.from <= now,
             slots: view.slots,
             used: self.admit.in_use(view.target),
             carried: view.carried,
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -130,11 +130,11 @@
     for vm in "$@"; do within 10 get "$(operators "$vm")/healthz"; done
 }
 
-# How many target leases some VMs hold.
+# How many target leases some VMs hold and may use.
 leases() {
     local vm total=0
     for vm in "$@"; do
-        total=$((total + $(status "$vm" | jq '.targets | length')))
+        total=$((total + $(status "$vm" | jq '[.targets[] | select(.open)] | length')))
     done
     echo "$total"
 }
