Share one hash between leases, members and steering

Cause: FNV and its mixing stood in three crates, in two variants; the shared state of the listeners was written down twice.

--- a/crates/pimento_core/src/lib.rs
+++ b/crates/pimento_core/src/lib.rs
@@ -5,6 +5,8 @@
 //! a [`Time`] and a seed for its random source, and it returns effects. This
 //! crate holds what those cores have in common; see `docs/ARCHITECTURE.md`.
 
+pub mod hash;
+
 mod class;
 mod name;
 mod time;
--- a/crates/pimento_entry/src/install.rs
+++ b/crates/pimento_entry/src/install.rs
@@ -5,7 +5,7 @@
     metrics::Metrics,
     node::NodeParts,
     operators,
-    shared::{Parts, Shared, unix_millis},
+    shared::{Shared, unix_millis},
     stop,
     upstream::Clients,
 };
@@ -24,9 +24,13 @@
     fs,
     net::{SocketAddr, TcpListener},
     path::Path,
-    sync::Arc,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize},
+    },
     time::Duration,
 };
+use tokio::sync::Notify;
 
 /// Worker threads of the listeners that carry requests.
 const WORKERS: usize = 2;
@@ -107,7 +111,7 @@
         if let Some(replica) = &replica {
             replica.do_send(Subscribe(node.clone().recipient()));
         }
-        let shared = web::Data::new(Shared::new(Parts {
+        let shared = web::Data::new(Shared {
             settings: settings.clone(),
             clock,
             log: log.clone(),
@@ -119,7 +123,12 @@
             token: secret(&settings.secrets.operators, "secrets.operators")?,
             proof: proof(&secret(&settings.secrets.links, "secrets.links")?),
             instance,
-        }));
+            budget: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            open: AtomicUsize::new(0),
+            drain: Notify::new(),
+            ids: AtomicU64::new(1),
+        });
         let mut entry = Self {
             shared,
             servers: Vec::new(),
--- a/crates/pimento_entry/src/shared.rs
+++ b/crates/pimento_entry/src/shared.rs
@@ -42,50 +42,14 @@
     /// The start of this process, in milliseconds since the Unix epoch.
     pub(crate) instance: u64,
     pub(crate) stopping: AtomicBool,
+    /// Requests whose answer has not ended.
     pub(crate) open: AtomicUsize,
     /// Told when an operator drains this VM.
     pub(crate) drain: Notify,
-    ids: AtomicU64,
-}
-
-/// What [`Shared`] is made of.
-#[derive(Debug)]
-pub(crate) struct Parts {
-    pub(crate) settings: Settings,
-    pub(crate) clock: Clock,
-    pub(crate) log: Logger,
-    pub(crate) node: Addr<Node>,
-    pub(crate) control: ControlClient,
-    pub(crate) replica: Option<Addr<Control>>,
-    pub(crate) rules: Arc<ArcSwap<Rules>>,
-    pub(crate) metrics: Metrics,
-    pub(crate) token: String,
-    pub(crate) proof: String,
-    pub(crate) instance: u64,
+    pub(crate) ids: AtomicU64,
 }
 
 impl Shared {
-    pub(crate) fn new(parts: Parts) -> Self {
-        Self {
-            settings: parts.settings,
-            clock: parts.clock,
-            log: parts.log,
-            node: parts.node,
-            control: parts.control,
-            replica: parts.replica,
-            rules: parts.rules,
-            budget: Mutex::default(),
-            metrics: parts.metrics,
-            token: parts.token,
-            proof: parts.proof,
-            instance: parts.instance,
-            stopping: AtomicBool::new(false),
-            open: AtomicUsize::new(0),
-            drain: Notify::new(),
-            ids: AtomicU64::new(1),
-        }
-    }
-
     /// A number for a request, unique in this process.
     pub(crate) fn next_id(&self) -> u64 {
         self.ids.fetch_add(1, Ordering::Relaxed)
--- a/crates/pimento_members/src/info.rs
+++ b/crates/pimento_members/src/info.rs
@@ -1,6 +1,6 @@
 //! Who a VM is and where it listens.
 
-use crate::hash;
+use pimento_core::hash;
 use pimento_core::{DomainId, RegionId, VmId};
 use std::net::SocketAddr;
 
@@ -30,7 +30,7 @@
     /// heartbeats. It only has to differ between the VMs of one domain.
     pub fn run(&self) -> u32 {
         let incarnation = self.incarnation.to_le_bytes();
-        hash::fnv([self.vm.as_bytes(), &incarnation].into_iter()) as u32
+        hash::fnv([self.vm.as_bytes(), &incarnation]) as u32
     }
 }
 
--- a/crates/pimento_members/src/lib.rs
+++ b/crates/pimento_members/src/lib.rs
@@ -10,7 +10,6 @@
 mod config;
 mod domain;
 mod effect;
-mod hash;
 mod info;
 mod join;
 mod load;
--- a/crates/pimento_members/src/load.rs
+++ b/crates/pimento_members/src/load.rs
@@ -1,7 +1,7 @@
 //! What a VM's held slots of a service carry.
 
-use crate::hash;
 use pimento_core::ServiceId;
+use pimento_core::hash;
 
 /// The load of one service on the slots that a VM holds leases for.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/pimento_members/src/members.rs
+++ b/crates/pimento_members/src/members.rs
@@ -2,8 +2,9 @@
 
 use crate::{
     Body, Config, Domain, Effect, Info, Leave, Message, Named, Pace, Peer, PeerState, ServiceLoad,
-    hash, load,
+    load,
 };
+use pimento_core::hash;
 use pimento_core::{DomainId, Time, VmId};
 use rand::{SeedableRng, rngs::SmallRng};
 use std::{net::SocketAddr, sync::Arc};
--- a/crates/pimento_members/src/summary.rs
+++ b/crates/pimento_members/src/summary.rs
@@ -3,9 +3,10 @@
 use crate::{
     Body, Contact, Domain, Effect, Info, Members, ServiceLoad, Summary,
     domain::{MAX_NAMED, NUMBERS},
-    hash, load, wire,
+    load, wire,
 };
 use pimento_core::Time;
+use pimento_core::hash;
 use std::{cmp::Reverse, time::Duration};
 
 /// The shortest time between two summaries to one domain.
--- a/crates/pimento_steer/src/lib.rs
+++ b/crates/pimento_steer/src/lib.rs
@@ -10,7 +10,6 @@
 mod config;
 mod family;
 mod growth;
-mod hash;
 mod link_budget;
 mod lookup;
 mod place;
--- a/crates/pimento_steer/src/lookup.rs
+++ b/crates/pimento_steer/src/lookup.rs
@@ -1,6 +1,7 @@
 //! Which entry VMs a caller is sent to.
 
-use crate::{Steer, hash, plan::Voter};
+use crate::{Steer, plan::Voter};
+use pimento_core::hash;
 use pimento_core::prelude::*;
 use std::net::{IpAddr, SocketAddr};
 
--- a/crates/pimento_steer/src/plan.rs
+++ b/crates/pimento_steer/src/plan.rs
@@ -1,6 +1,7 @@
 //! What look-ups need, worked out once for each view.
 
-use crate::{Entry, SteerConfig, View, hash, view};
+use crate::{Entry, SteerConfig, View, view};
+use pimento_core::hash;
 use pimento_core::prelude::*;
 use std::net::SocketAddr;
 
@@ -19,7 +20,7 @@
 impl Voter {
     fn new(entry: &Entry, slots: u32) -> Self {
         Self {
-            hash: hash::mix(hash::name(&entry.vm)),
+            hash: hash::mix(hash::fnv([entry.vm.as_bytes()])),
             weight: f64::from(slots.max(1)),
             base: if slots == 0 { NO_SLOTS } else { 0.0 },
             address: entry.callers,
@@ -93,7 +94,7 @@
         };
         self.orders = names.iter().map(order).collect();
         let hashed = names.into_iter().map(|name| {
-            let hash = hash::mix(hash::name(&name));
+            let hash = hash::mix(hash::fnv([name.as_bytes()]));
             (name, hash)
         });
         self.domains = hashed.collect();
