Keep the scripts' common steps in one place

Cause: building, starting targets and the load stood in two to four scripts; a cancellation of a request with a dropped claim was refused for ever. Change: they are functions of scripts/lib.sh; a cancellation is passed on if the key of what it cancels is too old to run.

--- a/crates/pimento_entry/src/claim.rs
+++ b/crates/pimento_entry/src/claim.rs
@@ -20,7 +20,7 @@
 use pimento_core::Verdict;
 use pimento_state::{
     Command, Effect, Op,
-    ledger::{self, Cancel, Cause, Claim, Finish, Free, Holder, Kind, Slot},
+    ledger::{self, Cancel, Cause, Claim, Finish, Free, Holder, Kind, RETENTION, Slot},
 };
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
@@ -40,6 +40,10 @@
 /// The wait between those tries.
 const RECORD_WAIT: Duration = Duration::from_millis(500);
 
+/// How far the clocks of entry and control VMs may lie apart where it matters
+/// whether a key is too old to run, in milliseconds.
+const CLOCK_MARGIN: u64 = 60 * 60 * 1_000;
+
 /// The headers that make a request somebody's own.
 const CREDENTIALS: [&str; 2] = ["authorization", "cookie"];
 
@@ -93,7 +97,7 @@
     let cancelled = parse_key(inbound, headers::CANCELS)?;
     let resource = resource(inbound)?;
     if let Some(key) = cancelled {
-        check_cancelled(shared, &slot(inbound, key)).await?;
+        check_cancelled(shared, &slot(inbound, key), key).await?;
     }
     let held = Held {
         slot: slot(inbound, key),
@@ -157,11 +161,16 @@
     state: String,
 }
 
-/// Lets only a request be cancelled that has certainly run.
+/// Lets only a request be cancelled that can't run any more.
 ///
-/// One that has not would run after its cancellation, and its place would be
-/// given back all the same.
-async fn check_cancelled(shared: &Shared, slot: &Slot) -> Result<(), Problem> {
+/// One that can might run after its cancellation, and its place would be given
+/// back all the same.
+async fn check_cancelled(shared: &Shared, slot: &Slot, key: Uuid) -> Result<(), Problem> {
+    let (seconds, _) = key.get_timestamp().map_or((u64::MAX, 0), |t| t.to_unix());
+    let age = unix_millis().saturating_sub(seconds.saturating_mul(1_000));
+    if age > RETENTION + CLOCK_MARGIN {
+        return Ok(());
+    }
     let look = Look::at(LookAt::Claim(slot.clone()));
     let shown = shared.control.look(look).await.map_err(unreachable)?;
     let shown = serde_json::from_slice::<Shown>(&shown).ok();
--- a/scripts/drains.sh
+++ b/scripts/drains.sh
@@ -8,12 +8,7 @@
 #   WORK   mean time of a request at its target in milliseconds (50)
 set -euo pipefail
 cd "$(dirname "$0")/.."
-if [[ -z ${BIN:-} ]]; then
-    cargo build --release --quiet -p pimentod -p pimento_cli
-    cargo build --release --quiet --example target
-    BIN=target/release
-fi
-BIN=$(realpath "$BIN")
+PROFILE=release
 source scripts/lib.sh
 RATE=${RATE:-200}
 WORK=${WORK:-50}
--- a/scripts/e2e.sh
+++ b/scripts/e2e.sh
@@ -8,26 +8,11 @@
 #   KEEP  any text keeps the folder with settings, data and logs
 set -euo pipefail
 cd "$(dirname "$0")/.."
-if [[ -z ${BIN:-} ]]; then
-    cargo build --quiet -p pimentod -p pimento_cli
-    cargo build --quiet --example target
-    BIN=target/debug
-fi
-BIN=$(realpath "$BIN")
 source scripts/lib.sh
 
 entries=(entry-11 entry-12 entry-13 entry-21 entry-22 entry-23)
 controls=(control-1 control-2 control-3)
 
-load() { # NAME ARGUMENTS...; leaves the report in NAME.json and the exit code in NAME.code
-    local name=$1 code=0
-    shift
-    "$BIN/pimento" --output json load --callers "$live" --service shifts --once signups \
-        --block 10.0.0.1,10.0.0.2,10.0.0.3,10.0.0.4,10.0.0.5,10.0.0.6,10.0.0.7,10.0.0.8 \
-        --targets "$(joined "${targets[@]}")" "$@" \
-        >"$work/logs/$name.json" 2>"$work/logs/$name.err" || code=$?
-    echo "$code" >"$work/logs/$name.code"
-}
 judge() { # NAME; shows the counts of a load run and fails if it broke a promise
     local report=$work/logs/$1.json code
     code=$(<"$work/logs/$1.code")
@@ -51,17 +36,7 @@
 
 step="start"
 start_vms "${controls[@]}" "${entries[@]}"
-targets=()
-for domain in 1 2; do
-    for i in 1 2 3 4; do
-        service=shifts
-        if ((i > 2)); then service=signups; fi
-        target=$net.1$domain.$i:9000
-        targets+=("$target")
-        start_target "t$domain$i" "$service" "$target" --slots 4 --time-ms 10 --shape exponential
-    done
-done
-live=$(joined $(for vm in "${entries[@]}"; do callers "$vm"; done))
+start_targets
 
 step="note"
 "$BIN/pimento" note apply "$root/examples/notes/1.yaml" --wait --within 15
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -6,25 +6,11 @@
 #   KEEP  any text keeps the folder with settings, data and logs
 set -euo pipefail
 cd "$(dirname "$0")/.."
-if [[ -z ${BIN:-} ]]; then
-    cargo build --quiet -p pimentod -p pimento_cli
-    cargo build --quiet --example target
-    BIN=target/debug
-fi
-BIN=$(realpath "$BIN")
 source scripts/lib.sh
 
 entries=(entry-11 entry-12 entry-13 entry-21 entry-22 entry-23)
 controls=(control-1 control-2 control-3)
 
-load() { # NAME ARGUMENTS...; the report goes to NAME.json
-    local name=$1 code=0
-    shift
-    "$BIN/pimento" --output json load --callers "$live" --service shifts --once signups \
-        --targets "$(joined "${targets[@]}")" "$@" \
-        >"$work/logs/$name.json" 2>"$work/logs/$name.err" || code=$?
-    echo "$code" >"$work/logs/$name.code"
-}
 judge() { # NAME LEAST; no promise broken, and this share in percent answered
     local report=$work/logs/$1.json
     jq -e . "$report" >/dev/null || { cat "$work/logs/$1.err" >&2; fail "no report of $1"; }
@@ -47,17 +33,7 @@
 step="start"
 make_settings
 start_vms "${controls[@]}" "${entries[@]}"
-targets=()
-for domain in 1 2; do
-    for i in 1 2 3 4; do
-        service=shifts
-        if ((i > 2)); then service=signups; fi
-        target=$net.1$domain.$i:9000
-        targets+=("$target")
-        start_target "t$domain$i" "$service" "$target" --slots 4 --time-ms 10 --shape exponential
-    done
-done
-live=$(joined $(for vm in "${entries[@]}"; do callers "$vm"; done))
+start_targets
 "$BIN/pimento" note apply "$root/examples/notes/1.yaml" --wait 2>/dev/null >/dev/null
 within 15 lease_count "${#targets[@]}" "${entries[@]}"
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -6,6 +6,14 @@
 #   KEEP  any text keeps the folder
 set -Eeuo pipefail
 
+if [[ -z ${BIN:-} ]]; then
+    PROFILE=${PROFILE:-dev}
+    cargo build --quiet --profile "$PROFILE" -p pimentod -p pimento_cli
+    cargo build --quiet --profile "$PROFILE" --example target
+    if [[ $PROFILE == dev ]]; then BIN=target/debug; else BIN=target/$PROFILE; fi
+fi
+BIN=$(realpath "$BIN")
+
 root=$PWD
 name=$(basename "$0" .sh)
 for tool in curl jq; do
@@ -143,3 +151,30 @@
     shift
     (($(leases "$@") >= least))
 }
+
+# Starts two targets of each service in both failure domains; sets their
+# addresses as `targets`, and the callers' listeners of the entry VMs as `live`.
+start_targets() {
+    local domain i service target
+    targets=()
+    for domain in 1 2; do
+        for i in 1 2 3 4; do
+            service=shifts
+            if ((i > 2)); then service=signups; fi
+            target=$net.1$domain.$i:9000
+            targets+=("$target")
+            start_target "t$domain$i" "$service" "$target" --slots 4 --time-ms 10 --shape exponential
+        done
+    done
+    live=$(joined $(for vm in "${entries[@]}"; do callers "$vm"; done))
+}
+
+load() { # NAME ARGUMENTS...; leaves the report in NAME.json and the exit code in NAME.code
+    local name=$1 code=0
+    shift
+    "$BIN/pimento" --output json load --callers "$live" --service shifts --once signups \
+        --block 10.0.0.1,10.0.0.2,10.0.0.3,10.0.0.4,10.0.0.5,10.0.0.6,10.0.0.7,10.0.0.8 \
+        --targets "$(joined "${targets[@]}")" "$@" \
+        >"$work/logs/$name.json" 2>"$work/logs/$name.err" || code=$?
+    echo "$code" >"$work/logs/$name.code"
+}
--- a/scripts/path.sh
+++ b/scripts/path.sh
@@ -14,12 +14,7 @@
 #   ROUNDS   measurements of each path, of which the median counts (3)
 set -euo pipefail
 cd "$(dirname "$0")/.."
-if [[ -z ${BIN:-} ]]; then
-    cargo build --release --quiet -p pimentod -p pimento_cli
-    cargo build --release --quiet --example target
-    BIN=target/release
-fi
-BIN=$(realpath "$BIN")
+PROFILE=release
 source scripts/lib.sh
 RATE=${RATE:-500}
 LENGTH=${LENGTH:-5}
