Test unreachable servers on a port that nobody gets

Cause: two tests freed a port and called it unreachable; another test's server could get that port, so other_holder failed once in the whole run. Change: port 1 of loopback, outside the range that the system hands out.

--- a/crates/pimento_cli/tests/apply.rs
+++ b/crates/pimento_cli/tests/apply.rs
@@ -100,9 +100,8 @@
 
 /// An address at which nothing listens.
 fn nobody() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    format!("http://{address}")
+    // A port that the system never gives to a listener of another test.
+    "http://127.0.0.1:1".to_owned()
 }
 
 #[test]
--- a/crates/pimento_link/tests/links.rs
+++ b/crates/pimento_link/tests/links.rs
@@ -61,9 +61,8 @@
 
 #[actix_rt::test]
 async fn nobody_there() {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback is there");
-    let address = listener.local_addr().expect("the listener is bound");
-    drop(listener);
+    // A port that the system never gives to a listener of another test.
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
     let (client, _) = start("b", "secret");
     let answer = client
         .call(address, Channel::Control, Bytes::new(), LIMIT)
