--- a/crates/pimento_cli/src/status.rs
+++ b/crates/pimento_cli/src/status.rs
@@ -2,16 +2,38 @@
 
 use crate::{
     args::{Target, Vm},
-    client::Client,
+    client::{Client, Reply},
     exit::Failure,
     output::{Output, lines},
 };
 use awc::http::Method;
+use serde_json::{Value, json};
 
-/// Shows VMs, targets, leases, versions and the control group.
+/// Shows VMs, targets, leases, versions and the control group, as each of the
+/// given servers sees them: a VM knows the targets that it holds itself.
 pub async fn show(client: &Client, out: Output) -> Result<(), Failure> {
-    let status = client.get("/v1/status").await?;
-    out.print(&status, lines);
+    let [_, _, ..] = client.servers() else {
+        out.print(&client.get("/v1/status").await?, lines);
+        return Ok(());
+    };
+    let mut statuses = Vec::new();
+    for server in client.servers() {
+        let reply = client.send(server, Method::GET, "/v1/status", Vec::new());
+        statuses.push(match reply.await {
+            Reply::Done(status) => json!({ "server": server, "status": status }),
+            Reply::Unreachable(fault) | Reply::Lost(fault) => {
+                json!({ "server": server, "fault": fault })
+            }
+            Reply::Refused(status, problem) => {
+                return Err(problem.failure(server, status));
+            }
+        });
+    }
+    let text = |all: &Value| {
+        let all = all.as_array().into_iter().flatten();
+        all.map(lines).collect::<Vec<_>>().join("\n\n")
+    };
+    out.print(&Value::from(statuses), text);
     Ok(())
 }
 
--- a/crates/pimento_steer/src/lookup.rs
+++ b/crates/pimento_steer/src/lookup.rs
@@ -1,6 +1,6 @@
 //! Which entry VMs a caller is sent to.
 
-use crate::{Steer, plan::Voter};
+use crate::{Steer, plan::Candidate};
 use pimento_core::hash;
 use pimento_core::prelude::*;
 use std::net::{IpAddr, SocketAddr};
@@ -50,7 +50,7 @@
             let count = if n == 0 { FIRST } else { 1 };
             let room = self.config.entries - entries.len();
             fresh |= spot.can && now <= spot.until;
-            choose(&spot.voters, block, count.min(room), &mut entries);
+            choose(&spot.candidates, block, count.min(room), &mut entries);
             if entries.len() >= self.config.entries {
                 break;
             }
@@ -95,11 +95,11 @@
 }
 
 /// Adds the best of some entry VMs for a block to a list.
-fn choose(voters: &[Voter], block: u64, count: usize, list: &mut Vec<SocketAddr>) {
+fn choose(candidates: &[Candidate], block: u64, count: usize, list: &mut Vec<SocketAddr>) {
     let mut best = [(f64::INFINITY, None); FIRST];
     let best = &mut best[..count.min(FIRST)];
-    for voter in voters {
-        let mut next = (voter.score(block), Some(voter.address));
+    for candidate in candidates {
+        let mut next = (candidate.score(block), Some(candidate.address));
         for place in best.iter_mut() {
             if next.0 < place.0 {
                 std::mem::swap(place, &mut next);
--- a/crates/pimento_steer/src/plan.rs
+++ b/crates/pimento_steer/src/plan.rs
@@ -10,14 +10,14 @@
 
 /// An entry VM as look-ups weigh it.
 #[derive(Clone, Debug)]
-pub(crate) struct Voter {
+pub(crate) struct Candidate {
     hash: u64,
     weight: f64,
     base: f64,
     pub(crate) address: SocketAddr,
 }
 
-impl Voter {
+impl Candidate {
     fn new(entry: &Entry, slots: u32) -> Self {
         Self {
             hash: hash::mix(hash::fnv([entry.vm.as_bytes()])),
@@ -44,7 +44,7 @@
     pub(crate) keep: f64,
     /// The end of the time for which its headroom counts.
     pub(crate) until: Time,
-    pub(crate) voters: Vec<Voter>,
+    pub(crate) candidates: Vec<Candidate>,
 }
 
 /// The failure domains of one service, in the order of the plan.
@@ -209,15 +209,16 @@
             add(room);
             spot.until = spot.until.max(peer.time + config.max_age);
             if !peer.stopping {
-                spot.voters.push(Voter::new(&peer.entry, room.slots));
+                spot.candidates
+                    .push(Candidate::new(&peer.entry, room.slots));
             }
         }
     }
     for summary in view.domains.iter().filter(|s| s.domain == *domain) {
         add(view::room(&summary.rooms, service));
         spot.until = spot.until.max(summary.time + config.max_age);
-        let voters = summary.entries.iter().map(|entry| Voter::new(entry, 1));
-        spot.voters.extend(voters);
+        let candidates = summary.entries.iter().map(|entry| Candidate::new(entry, 1));
+        spot.candidates.extend(candidates);
     }
     spot.can = slots > 0;
     spot.keep = if free > 0 || queued == 0 {
