--- /dev/null
+++ b/crates/pimento_broker/src/ask.rs
@@ -0,0 +1,94 @@
+//! What a broker is asked and what it answers.
+
+use pimento_core::Time;
+use std::{sync::Arc, time::Duration};
+
+/// The number of an ask: the asking process and its own count.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct AskId {
+    /// The process that asks.
+    pub process: u64,
+    /// Its count.
+    pub serial: u64,
+}
+
+/// A request that needs a place.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The number.
+    pub id: AskId,
+    /// The service.
+    pub service: Arc<str>,
+    /// The failure domain whose targets are meant.
+    pub domain: Arc<str>,
+    /// What the request is about, where a target that has seen it is faster.
+    pub object: Option<u64>,
+    /// The rank; 0 is the most urgent.
+    pub priority: u32,
+    /// When the answer should be there to be worth most.
+    pub objective: Time,
+    /// When an answer is worth nothing any more.
+    pub deadline: Time,
+    /// The longest wait that may end in a refusal without harm.
+    pub patience: Duration,
+    /// The targets that the request was sent to before.
+    pub tried: Vec<Arc<str>>,
+}
+
+/// What the broker decided.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// A place on a target is the request's until it is done.
+    Grant {
+        /// The ask.
+        id: AskId,
+        /// The target.
+        target: Arc<str>,
+    },
+    /// There is no place in time.
+    Refuse {
+        /// The ask.
+        id: AskId,
+        /// How long until there may be one.
+        wait: Wait,
+    },
+}
+
+/// How long until there may be a place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Wait {
+    /// About so long.
+    For(Duration),
+    /// No target can be used.
+    Unknown,
+}
+
+/// How a request that had a place ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ending {
+    /// The target answered.
+    Answered,
+    /// The target refused it before running it.
+    Shed,
+    /// The target failed it.
+    Failed,
+    /// The target could not be reached, or broke off.
+    Broken,
+    /// Another target has the address.
+    Replaced,
+    /// The caller left, or the request was not sent after all.
+    Cancelled,
+}
+
+/// What is known once a request is done.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// How it ended.
+    pub ending: Ending,
+    /// The time from sending to the answer.
+    pub took: Duration,
+    /// The requests that run and that wait at the target, by its own account.
+    pub load: Option<(u32, u32)>,
+    /// How long the target stays cold, if it said so.
+    pub cold: Option<Duration>,
+}
--- /dev/null
+++ b/crates/pimento_broker/src/lib.rs
@@ -0,0 +1,20 @@
+//! Places on targets: who gets one, who waits, who is refused.
+//!
+//! One entry VM of a failure domain grants the places on the targets of a
+//! service there, so that they are counted once. [`Broker`] decides on it;
+//! [`order`] says which failure domains a request tries, and [`Budget`] how
+//! many repeats this VM may send. All of it is pure. See
+//! `docs/design/placement.md`.
+
+mod ask;
+mod broker;
+mod budget;
+mod order;
+mod pace;
+mod queue;
+mod target;
+
+pub use ask::{Ask, AskId, Effect, Ending, Report, Wait};
+pub use broker::{Broker, TargetView};
+pub use budget::Budget;
+pub use order::{Place, order};
--- /dev/null
+++ b/crates/pimento_broker/src/queue.rs
@@ -0,0 +1,50 @@
+//! Requests that wait for a place.
+
+use crate::Ask;
+use pimento_core::Time;
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub ask: Ask,
+    /// The last moment at which it can start and be answered in time.
+    pub start_by: Time,
+}
+
+/// Requests that wait, in the order in which they arrived.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Queue(pub Vec<Waiting>);
+
+/// What comes first: requests that can still be answered in time, then by rank,
+/// then the one that must start soonest.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct Turn {
+    late: bool,
+    priority: u32,
+    start_by: Time,
+}
+
+impl Waiting {
+    pub(crate) fn turn(&self, now: Time) -> Turn {
+        Turn {
+            late: now > self.start_by,
+            priority: self.ask.priority,
+            start_by: self.start_by,
+        }
+    }
+}
+
+impl Queue {
+    /// How many would start before a request.
+    pub(crate) fn ahead(&self, now: Time, waiting: &Waiting) -> usize {
+        let turn = waiting.turn(now);
+        let same = |w: &&Waiting| same_pool(&w.ask, &waiting.ask);
+        let queued = self.0.iter().filter(same);
+        queued.filter(|w| w.turn(now) <= turn).count()
+    }
+}
+
+/// Whether two requests compete for the same targets.
+pub(crate) fn same_pool(a: &Ask, b: &Ask) -> bool {
+    a.service == b.service && a.domain == b.domain
+}
--- /dev/null
+++ b/crates/pimento_broker/src/target.rs
@@ -0,0 +1,188 @@
+//! The places of one target.
+
+use crate::{Ending, Report, broker::TargetView, pace::Pace};
+use pimento_core::{Time, hash};
+use std::{sync::Arc, time::Duration};
+
+/// The objects that a target is taken to remember.
+const WARM: usize = 24;
+
+/// The first pause after a target broke off or could not be reached; each
+/// further failure doubles it.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+/// The longest such pause.
+const LAST_PAUSE: Duration = Duration::from_secs(5);
+/// How long a target that refused gets nothing: about the time after which one
+/// of its requests has ended.
+const SHED_PAUSE: Duration = Duration::from_millis(100);
+/// The weight of a new ending in the share of failures.
+const FAILURE_GAIN: f64 = 0.15;
+/// The share of failures above which other targets go first.
+const DOUBTED: f64 = 0.25;
+/// How much slower than its like a target must be so that others go first.
+const SLOW: f64 = 2.5;
+/// The part of the rate that a cold target bears which is used, since two VMs
+/// may grant its places while they disagree on who does.
+const COLD_SHARE: f64 = 0.8;
+
+/// The places of one target.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub view: TargetView,
+    /// The places that are taken.
+    pub running: u32,
+    /// The places that are offered; at most those that the target has.
+    limit: u32,
+    /// The objects seen, oldest first.
+    warm: Vec<u64>,
+    /// The failures in a row.
+    failures: u32,
+    /// Until when it gets nothing.
+    paused: Time,
+    /// The share of requests that it failed or refused with places free.
+    doubt: f64,
+    /// Run times in relation to those of its like.
+    ratio: Pace,
+    /// When the next request may be sent while it is cold.
+    next_cold: Time,
+}
+
+impl Target {
+    pub(crate) fn new(view: TargetView) -> Self {
+        Self {
+            limit: view.slots,
+            view,
+            running: 0,
+            warm: Vec::new(),
+            failures: 0,
+            paused: Time::ZERO,
+            doubt: 0.0,
+            ratio: Pace::default(),
+            next_cold: Time::ZERO,
+        }
+    }
+
+    /// Takes a newer view of the same lifetime.
+    pub(crate) fn set(&mut self, view: TargetView) {
+        self.limit = self.limit.max(1).min(view.slots);
+        self.view = view;
+    }
+
+    /// Whether it may get a request at all.
+    pub(crate) const fn open(&self) -> bool {
+        self.view.open && self.view.slots > 0
+    }
+
+    /// Whether it is known to be out of order.
+    pub(crate) fn broken(&self, now: Time) -> bool {
+        self.failures > 0 && now < self.paused
+    }
+
+    /// Whether it may get a request now.
+    pub(crate) fn free(&self, now: Time) -> bool {
+        let limit = if self.failures > 0 { 1 } else { self.limit };
+        let cold = now < self.view.cold_until && now < self.next_cold;
+        self.open() && now >= self.paused && self.running < limit && !cold
+    }
+
+    pub(crate) fn is_warm(&self, object: u64) -> bool {
+        self.warm.contains(&object)
+    }
+
+    /// How well it suits a request; the greatest is chosen.
+    pub(crate) fn fitness(&self, now: Time, object: Option<u64>) -> Fitness {
+        let spare = f64::from(self.limit - self.running.min(self.limit));
+        let spare = spare / f64::from(self.view.slots.max(1));
+        Fitness {
+            trusted: self.failures == 0 && self.doubt < DOUBTED,
+            quick: self.ratio.secs().is_none_or(|ratio| ratio < SLOW),
+            warm: object.is_some_and(|object| self.is_warm(object)),
+            started: now >= self.view.cold_until,
+            spare: (spare * 1_000.0) as u32,
+            lot: object.map_or(0, |object| hash::mix(object ^ self.view.seed)),
+        }
+    }
+
+    /// Gives a place to a request.
+    pub(crate) fn begin(&mut self, now: Time, object: Option<u64>) {
+        self.running += 1;
+        if now < self.view.cold_until && self.view.cold_rate > 0.0 {
+            let gap = Duration::from_secs_f64(1.0 / (self.view.cold_rate * COLD_SHARE));
+            self.next_cold = now + gap;
+        }
+        if let Some(object) = object {
+            self.warm.retain(|other| *other != object);
+            if self.warm.len() >= WARM {
+                self.warm.remove(0);
+            }
+            self.warm.push(object);
+        }
+    }
+
+    /// Takes a place back.
+    pub(crate) fn end(&mut self, now: Time, report: &Report, like: Option<f64>) {
+        self.running = self.running.saturating_sub(1);
+        if let Some(cold) = report.cold {
+            self.view.cold_until = self.view.cold_until.max(now + cold);
+        }
+        match report.ending {
+            Ending::Answered => self.succeed(report, like),
+            Ending::Failed => self.fail(1.0),
+            Ending::Shed => self.shed(now, report),
+            Ending::Broken => self.break_off(now),
+            Ending::Replaced => self.view.open = false,
+            Ending::Cancelled => {}
+        }
+    }
+
+    fn succeed(&mut self, report: &Report, like: Option<f64>) {
+        self.failures = 0;
+        self.fail(0.0);
+        self.limit = (self.limit + 1).min(self.view.slots);
+        if let Some(like) = like.filter(|like| *like > 0.0) {
+            let ratio = report.took.as_secs_f64() / like;
+            self.ratio.note(Duration::from_secs_f64(ratio));
+        }
+    }
+
+    fn fail(&mut self, value: f64) {
+        self.doubt += FAILURE_GAIN * (value - self.doubt);
+    }
+
+    /// Others send to it too, or it is out of order.
+    fn shed(&mut self, now: Time, report: &Report) {
+        let full = report
+            .load
+            .is_some_and(|(running, _)| running >= self.view.slots);
+        if full {
+            self.limit = (self.limit / 2).max(1);
+        } else {
+            self.fail(1.0);
+        }
+        self.paused = self.paused.max(now + SHED_PAUSE);
+    }
+
+    fn break_off(&mut self, now: Time) {
+        self.fail(1.0);
+        self.failures = (self.failures + 1).min(8);
+        let pause = FIRST_PAUSE * 2_u32.pow(self.failures - 1);
+        self.paused = now + pause.min(LAST_PAUSE);
+        self.warm.clear();
+    }
+}
+
+/// How well a target suits a request: what matters more comes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct Fitness {
+    trusted: bool,
+    quick: bool,
+    warm: bool,
+    started: bool,
+    spare: u32,
+    lot: u64,
+}
+
+/// The name of a target as candidates are told apart.
+pub(crate) fn named(target: &Target, name: &Arc<str>) -> bool {
+    target.view.id == *name
+}
--- a/crates/pimento_consensus/src/config.rs
+++ b/crates/pimento_consensus/src/config.rs
@@ -27,6 +27,9 @@
     pub backlog: u64,
     /// The entries kept before a snapshot, for replicas that lag a little.
     pub trail: u64,
+    /// The voters without which no command is taken, so that what is
+    /// acknowledged outlives the loss of as many disks as was promised.
+    pub voters: usize,
 }
 
 /// What a replica had made durable before it started.
@@ -54,6 +57,7 @@
             window: 16,
             backlog: 16 * 1024,
             trail: 1_000,
+            voters: 1,
         }
     }
 }
--- a/crates/pimento_consensus/src/membership.rs
+++ b/crates/pimento_consensus/src/membership.rs
@@ -3,6 +3,7 @@
 use crate::{Change, Effect, Kind, Member, Members, Raft, Refusal, Role, progress::Progress};
 use pimento_core::{Time, VmId};
 use prost::Message as _;
+use std::time::Duration;
 
 impl Raft {
     /// Why a proposal can't be taken now, if so.
@@ -14,7 +15,9 @@
         if self.log.last() - self.commit >= self.config.backlog {
             return Some(Refusal::Busy);
         }
-        let formed = self.log.members().is_some_and(|(_, m)| m.formed());
+        let needed = self.config.voters;
+        let enough = |m: &Members| m.formed() && m.voters().count() >= needed;
+        let formed = self.log.members().is_some_and(|(_, m)| enough(m));
         (!formed).then_some(Refusal::Forming)
     }
 
@@ -84,6 +87,14 @@
         self.refresh_peers(now);
     }
 
+    /// A voter that this leader has not heard of for a time, if any.
+    pub fn silent_voter(&self, now: Time, span: Duration) -> Option<VmId> {
+        let members = self.members();
+        let votes = |vm: &VmId| members.get(vm).is_some_and(|m| m.voter);
+        let silent = |p: &&Progress| now.since(p.heard) >= span && votes(&p.vm);
+        self.peers.iter().find(silent).map(|p| p.vm.clone())
+    }
+
     /// Makes the list of peers match the newest members.
     pub(crate) fn refresh_peers(&mut self, now: Time) {
         let members = self.members();
--- a/crates/pimento_control/src/actor.rs
+++ b/crates/pimento_control/src/actor.rs
@@ -1,7 +1,7 @@
 //! The actor that carries messages, time and files to and from the core.
 
 use crate::{
-    ControlClient, RulesChanged, backup,
+    CatalogChanged, ControlClient, RulesChanged, backup,
     disk::Disk,
     record::{self, Identity},
     waiters::{Late, Reader, Waiter},
@@ -14,7 +14,7 @@
 use pimento_log::{Event, Logger, event};
 use pimento_rules::Rules;
 use pimento_settings::Peer;
-use pimento_state::State;
+use pimento_state::{State, items::Catalog};
 use pimento_storage::{Disk as Files, Folder, Store, StoreError};
 use prost::Message as _;
 use std::{
@@ -28,19 +28,43 @@
 /// How often the core is told the time.
 const TICK: Duration = Duration::from_millis(25);
 
+/// How often a VM that doesn't vote asks to join, and a leader looks for voters
+/// to remove.
+const JOIN: Duration = Duration::from_millis(500);
+
 /// What a control VM needs to start.
 #[derive(Clone, Debug)]
 pub struct ControlConfig {
     /// The VM.
     pub vm: VmId,
-    /// The control VMs of the settings: the first members of a new group.
+    /// The control VMs of the settings, through which others are found.
     pub peers: Vec<Peer>,
+    /// How the members of the group come together.
+    pub group: Group,
+    /// Where others reach this VM's links, if the settings don't list it.
+    pub listen: Option<SocketAddr>,
     /// The data folder.
     pub data: PathBuf,
     /// The seed of the random waits before elections.
     pub seed: u64,
 }
 
+/// How the members of the control group come together.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Group {
+    /// The control VMs of the settings found it, and operators change it.
+    #[default]
+    Fixed,
+    /// Control VMs join by themselves, see `docs/design/platform.md`.
+    Open {
+        /// Whether the VMs of the settings found the group if this VM's data
+        /// folder is empty; only at the first start of the whole system.
+        found: bool,
+        /// The voters without which nothing is acknowledged.
+        voters: usize,
+    },
+}
+
 /// The replica of one control VM.
 #[derive(Debug)]
 pub struct Control {
@@ -49,6 +73,11 @@
     pub(crate) raft: Raft,
     pub(crate) state: State,
     pub(crate) rules: Arc<Rules>,
+    pub(crate) catalog: Arc<Catalog>,
+    pub(crate) group: Group,
+    pub(crate) listen: Option<SocketAddr>,
+    /// The number of this VM's data folder.
+    pub(crate) instance: u64,
     /// The last entry applied to the state, and its term.
     pub(crate) applied: (u64, u64),
     /// The size of the entries applied since the newest snapshot, in bytes.
@@ -73,6 +102,7 @@
     pub(crate) late: Vec<Late>,
     pub(crate) serial: u64,
     pub(crate) subscribers: Vec<Recipient<RulesChanged>>,
+    pub(crate) catalog_readers: Vec<Recipient<CatalogChanged>>,
     /// Told when the data folder is free.
     halting: Option<oneshot::Sender<()>>,
     /// What the core asked for when it started.
@@ -137,8 +167,7 @@
             (identity, pimento_consensus::Saved::default())
         };
         event!(log, Event::StoreOpened, "folder" => %file, "entries" => saved.entries.len());
-        let first = backup::learners(&config.peers);
-        let settings = Config::new(config.vm.clone(), identity.instance, first);
+        let settings = settings(&config, identity.instance);
         let (raft, first) = Raft::new(settings, saved, Time::ZERO, config.seed);
         let client = ControlClient::new(links.clone(), &config.peers);
         Ok(Self {
@@ -147,6 +176,10 @@
             raft,
             state: State::default(),
             rules: Arc::default(),
+            catalog: Arc::default(),
+            group: config.group,
+            listen: config.listen,
+            instance: identity.instance,
             applied: (0, 0),
             grown: 0,
             disk: Some(Disk { store, identity }),
@@ -163,6 +196,7 @@
             late: Vec::new(),
             serial: 0,
             subscribers: Vec::new(),
+            catalog_readers: Vec::new(),
             halting: None,
             first,
         })
@@ -317,6 +351,26 @@
         let first = std::mem::take(&mut self.first);
         self.run(first, ctx);
         ctx.run_interval(TICK, Self::tick);
+        if let Group::Open { voters, .. } = self.group {
+            ctx.run_interval(JOIN, Self::seek_membership);
+            ctx.run_interval(JOIN, move |control, ctx| control.evict(voters, ctx));
+        }
+    }
+}
+
+/// The settings of the core.
+fn settings(config: &ControlConfig, instance: u64) -> Config {
+    let vm = config.vm.clone();
+    let founders = || backup::learners(&config.peers);
+    match config.group {
+        Group::Fixed => Config::new(vm, instance, founders()),
+        Group::Open { found, voters } => {
+            let first = if found { founders() } else { Vec::new() };
+            Config {
+                voters,
+                ..Config::new(vm, instance, first)
+            }
+        }
     }
 }
 
--- a/crates/pimento_control/src/apply.rs
+++ b/crates/pimento_control/src/apply.rs
@@ -1,7 +1,7 @@
 //! What the log does to the state and to those who wait for it.
 
 use crate::{
-    Control, ControlError, Fault, RulesChanged, backup,
+    CatalogChanged, Control, ControlError, Fault, RulesChanged, backup,
     waiters::{Done, Purpose, Reader, Waiter},
     wire::{self, Answer, NotLeader},
 };
@@ -104,8 +104,25 @@
         self.publish();
     }
 
-    /// Tells the subscribers of a newer version of the rules.
+    /// Tells the subscribers of what is newer.
     fn publish(&mut self) {
+        self.publish_catalog();
+        self.publish_rules();
+    }
+
+    fn publish_catalog(&mut self) {
+        let catalog = self.state.catalog();
+        if catalog.revision() <= self.catalog.revision() {
+            return;
+        }
+        self.catalog = Arc::clone(catalog);
+        for reader in &self.catalog_readers {
+            let catalog = Arc::clone(&self.catalog);
+            reader.do_send(CatalogChanged { catalog });
+        }
+    }
+
+    fn publish_rules(&mut self) {
         let rules = self.state.rules();
         if rules.version <= self.rules.version {
             return;
--- a/crates/pimento_control/src/handlers.rs
+++ b/crates/pimento_control/src/handlers.rs
@@ -1,14 +1,14 @@
 //! What the actor does with each message.
 
 use crate::{
-    Backup, Change, Control, ControlError, ControlStatus, Fault, GetStatus, Propose, Query,
-    RulesChanged, Shutdown, Subscribe, View, client,
+    Backup, CatalogChanged, Change, Control, ControlError, ControlStatus, Fault, GetStatus,
+    Propose, Query, RulesChanged, Shutdown, Subscribe, SubscribeCatalog, View, client,
     waiters::{Done, Late, Purpose, Reader},
     wire::{Answer, Ask, NotLeader, Question, Reply},
 };
 use actix::prelude::*;
 use bytes::Bytes;
-use pimento_consensus::{Message as Wire, Role};
+use pimento_consensus::{Change as MemberChange, Message as Wire, Role};
 use pimento_link::{Channel, Incoming};
 use pimento_rules::{Rules, RulesPull};
 use pimento_state::{Command, Outcome};
@@ -40,6 +40,7 @@
             Question::Status(_) => done.send(self.status_answer()),
             Question::Backup(_) => self.read(Purpose::Backup, done, ctx),
             Question::Add(_) | Question::Remove(_) => self.change(question, done, ctx),
+            Question::Join(join) => self.join(join, done, ctx),
         }
     }
 
@@ -60,6 +61,16 @@
         let Some(change) = question.change() else {
             return done.send(ControlError::not_run(Fault::Malformed));
         };
+        self.change_members(change, done, ctx);
+    }
+
+    /// Asks for a change of the members, and leaves the answer to the log.
+    pub(crate) fn change_members(
+        &mut self,
+        change: MemberChange,
+        done: Done,
+        ctx: &mut Context<Self>,
+    ) {
         self.serial += 1;
         let id = self.serial;
         let effects = self.raft.change(self.now(), id, change);
@@ -258,6 +269,16 @@
     }
 }
 
+impl Handler<SubscribeCatalog> for Control {
+    type Result = ();
+
+    fn handle(&mut self, msg: SubscribeCatalog, _: &mut Context<Self>) {
+        let catalog = Arc::clone(&self.catalog);
+        msg.0.do_send(CatalogChanged { catalog });
+        self.catalog_readers.push(msg.0);
+    }
+}
+
 impl Handler<Incoming> for Control {
     type Result = ();
 
--- a/crates/pimento_control/src/lib.rs
+++ b/crates/pimento_control/src/lib.rs
@@ -12,17 +12,20 @@
 mod error;
 mod fence;
 mod handlers;
+mod join;
 mod look;
 mod messages;
 mod record;
 mod waiters;
 mod wire;
 
-pub use actor::{Control, ControlConfig};
+pub use actor::{Control, ControlConfig, Group};
 pub use backup::{Restored, restore_backup};
 pub use client::ControlClient;
 pub use error::{ControlError, Fault};
 pub use look::{Look, LookAt};
-pub use messages::{Backup, Change, ControlStatus, GetStatus, MemberStatus, Propose, Query};
-pub use messages::{RulesChanged, Shutdown, Subscribe, View};
+pub use messages::{
+    Backup, CatalogChanged, Change, ControlStatus, GetStatus, MemberStatus, Propose, Query,
+};
+pub use messages::{RulesChanged, Shutdown, Subscribe, SubscribeCatalog, View};
 pub use pimento_consensus::Change as MemberChange;
--- a/crates/pimento_control/src/messages.rs
+++ b/crates/pimento_control/src/messages.rs
@@ -6,7 +6,7 @@
 use pimento_consensus::{Change as MemberChange, Member};
 use pimento_core::VmId;
 use pimento_rules::Rules;
-use pimento_state::{Command, Outcome, State};
+use pimento_state::{Command, Outcome, State, items::Catalog};
 use serde::Serialize;
 use std::{fmt, sync::Arc};
 
@@ -77,6 +77,19 @@
     pub rules: Arc<Rules>,
 }
 
+/// Sends [`CatalogChanged`] now and after each change.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct SubscribeCatalog(pub Recipient<CatalogChanged>);
+
+/// The items that this VM has applied, which are never older than before.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct CatalogChanged {
+    /// The items.
+    pub catalog: Arc<Catalog>,
+}
+
 /// A control VM's own view of the group.
 #[derive(Clone, Debug, Serialize)]
 pub struct ControlStatus {
--- a/crates/pimento_control/src/wire.rs
+++ b/crates/pimento_control/src/wire.rs
@@ -9,7 +9,7 @@
 /// A question to a control VM, which answers only if it leads.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Ask {
-    #[prost(oneof = "Question", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Question", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub question: Option<Question>,
 }
 
@@ -40,6 +40,21 @@
     /// The VM's own view of the group, whether it leads or not.
     #[prost(bool, tag = "8")]
     Status(bool),
+    /// Make a VM a member, as the replica that its data folder makes it.
+    #[prost(message, tag = "9")]
+    Join(Join),
+}
+
+/// A VM that asks to be a member.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Join {
+    #[prost(string, tag = "1")]
+    pub vm: String,
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// The number of its data folder.
+    #[prost(uint64, tag = "3")]
+    pub instance: u64,
 }
 
 /// A VM to add to the group.
--- a/crates/pimento_control/tests/disk.rs
+++ b/crates/pimento_control/tests/disk.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use pimento_control::{Control, ControlConfig, ControlError, Fault, Propose, Query};
+use pimento_control::{Control, ControlConfig, ControlError, Fault, Group, Propose, Query};
 use pimento_core::VmId;
 use pimento_state::Command;
 use std::sync::atomic::Ordering;
@@ -48,6 +48,8 @@
     let config = ControlConfig {
         vm: VmId::new("other").unwrap(),
         peers: cluster.peers.clone(),
+        group: Group::Fixed,
+        listen: None,
         data: cluster.folders[0].path().to_owned(),
         seed: 0,
     };
@@ -75,6 +77,8 @@
     let config = ControlConfig {
         vm: cluster.peers[0].vm.clone(),
         peers: cluster.peers.clone(),
+        group: Group::Fixed,
+        listen: None,
         data: cluster.folders[0].path().to_owned(),
         seed: 0,
     };
--- a/crates/pimento_control/tests/support/mod.rs
+++ b/crates/pimento_control/tests/support/mod.rs
@@ -7,7 +7,9 @@
 
 use actix::prelude::*;
 use failing::Failing;
-use pimento_control::{Control, ControlClient, ControlConfig, ControlStatus, GetStatus, Shutdown};
+use pimento_control::{
+    Control, ControlClient, ControlConfig, ControlStatus, GetStatus, Group, Shutdown,
+};
 use pimento_core::VmId;
 use pimento_link::{Key, Links};
 use pimento_settings::Peer;
@@ -80,6 +82,8 @@
         let config = ControlConfig {
             vm: self.peers[i].vm.clone(),
             peers: self.peers.clone(),
+            group: Group::Fixed,
+            listen: None,
             data: self.folders[i].path().to_owned(),
             seed: i as u64,
         };
--- a/crates/pimento_entry/tests/support/mod.rs
+++ b/crates/pimento_entry/tests/support/mod.rs
@@ -55,6 +55,8 @@
         let config = ControlConfig {
             vm: settings.vm.clone(),
             peers: settings.control.clone(),
+            group: Group::Fixed,
+            listen: None,
             data: settings.data.clone().expect("a data folder"),
             seed: 1,
         };
--- /dev/null
+++ b/crates/pimento_fleet/src/actor.rs
@@ -0,0 +1,377 @@
+//! The actor that carries datagrams and time to and from the core.
+
+use crate::{
+    Effect, Fleet, FleetConfig, Node, Refused, Shared, Stage, Verdict,
+    effect::Outgoing,
+    message::{AskMessage, Message as Wire},
+    parts,
+};
+use actix::prelude::*;
+use bytes::Bytes;
+use pimento_core::{Clock, Time};
+use pimento_items::Catalog;
+use pimento_log::{Event, Logger, event};
+use pimento_registry::Target;
+use prost::Message as _;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{net::UdpSocket, sync::oneshot};
+
+/// How often the core is told the time.
+const TICK: Duration = Duration::from_millis(50);
+/// The largest datagram, in bytes.
+const DATAGRAM: usize = 65_536;
+/// The messages that may wait for the actor.
+const MAILBOX: usize = 4_096;
+
+/// The socket of the fleet can't be used.
+#[derive(Debug, thiserror::Error)]
+#[error("can't take datagrams at {address}: {source}")]
+pub struct StartError {
+    /// The address.
+    pub address: SocketAddr,
+    /// What the system said.
+    pub source: std::io::Error,
+}
+
+/// The actor that carries datagrams and time to and from the core.
+#[derive(Debug)]
+pub struct FleetActor {
+    fleet: Fleet,
+    socket: Arc<UdpSocket>,
+    shared: Shared,
+    log: Logger,
+    clock: Clock,
+    messages: u64,
+    changed: bool,
+    /// Requests that wait for a verdict.
+    asking: Vec<(u64, oneshot::Sender<Verdict>)>,
+    /// Reports that wait to be known.
+    reporting: Vec<(u64, oneshot::Sender<()>)>,
+    /// Whether the process served when its state was last logged.
+    ready: bool,
+}
+
+impl FleetActor {
+    /// Begins to take datagrams on the current arbiter.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StartError`] if the socket can't be used.
+    pub fn start(
+        config: FleetConfig,
+        bind: SocketAddr,
+        shared: Shared,
+        log: Logger,
+    ) -> Result<Addr<Self>, StartError> {
+        let open = || {
+            let socket = std::net::UdpSocket::bind(bind)?;
+            socket.set_nonblocking(true)?;
+            UdpSocket::from_std(socket)
+        };
+        let socket = open().map_err(|source| StartError {
+            address: bind,
+            source,
+        })?;
+        let actor = Self {
+            fleet: Fleet::new(config),
+            socket: Arc::new(socket),
+            shared,
+            log,
+            clock: Clock::start(),
+            messages: 0,
+            changed: false,
+            asking: Vec::new(),
+            reporting: Vec::new(),
+            ready: false,
+        };
+        Ok(Actor::start(actor))
+    }
+
+    fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    fn run(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => self.send(to, message),
+                Effect::Decided { serial, verdict } => self.decide(serial, verdict),
+                Effect::Known { ticket } => self.acknowledge(ticket),
+                Effect::Changed => self.changed = true,
+            }
+        }
+        if std::mem::take(&mut self.changed) {
+            self.publish();
+        }
+    }
+
+    fn send(&mut self, to: SocketAddr, message: Outgoing) {
+        self.messages += 1;
+        let wire = Wire {
+            body: Some(message.0),
+        };
+        for datagram in parts::divide(self.messages, wire.encode_to_vec().into()) {
+            // A datagram that the system can't take now is lost like others.
+            if self.socket.try_send_to(&datagram, to).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn decide(&mut self, serial: u64, verdict: Verdict) {
+        let Some(at) = self.asking.iter().position(|(s, _)| *s == serial) else {
+            return;
+        };
+        // A request that has gone gives its place back by itself.
+        drop(self.asking.swap_remove(at).1.send(verdict));
+    }
+
+    fn acknowledge(&mut self, ticket: u64) {
+        for (_, done) in self.reporting.extract_if(.., |(t, _)| *t == ticket) {
+            // A target that no longer waits asks another VM.
+            done.send(()).unwrap_or_default();
+        }
+    }
+
+    fn publish(&mut self) {
+        let view = self.fleet.view();
+        if view.ready != self.ready {
+            self.ready = view.ready;
+            let (targets, revision) = (view.targets.len(), view.catalog.revision());
+            event!(self.log, Event::ReadyChanged, "ready" => view.ready,
+                "targets" => targets, "revision" => revision, "vms" => view.vms);
+        }
+        self.shared.store(Arc::new(view));
+    }
+}
+
+impl Actor for FleetActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Context<Self>) {
+        ctx.set_mailbox_capacity(MAILBOX);
+        ctx.run_interval(TICK, |actor, _| {
+            let effects = actor.fleet.tick(actor.now());
+            actor.run(effects);
+        });
+        let (socket, addr) = (Arc::clone(&self.socket), ctx.address());
+        actix_rt::spawn(receive(socket, addr));
+    }
+}
+
+/// Hands datagrams to the actor for as long as it lives.
+async fn receive(socket: Arc<UdpSocket>, addr: Addr<FleetActor>) {
+    let mut buffer = vec![0; DATAGRAM];
+    while addr.connected() {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => {
+                let payload = Bytes::copy_from_slice(&buffer[..length]);
+                addr.do_send(Datagram { from, payload });
+            }
+            // An earlier datagram was refused by its receiver.
+            Err(_) => tokio::task::yield_now().await,
+        }
+    }
+}
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Datagram {
+    from: SocketAddr,
+    payload: Bytes,
+}
+
+impl Handler<Datagram> for FleetActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: Datagram, _: &mut Context<Self>) {
+        let effects = self.fleet.receive(self.now(), msg.from, msg.payload);
+        self.run(effects);
+    }
+}
+
+/// Asks for a place on a target.
+#[derive(Debug, Message)]
+#[rtype(result = "Verdict")]
+pub struct Acquire {
+    /// A number that this process never used before.
+    pub serial: u64,
+    /// The service.
+    pub service: Arc<str>,
+    /// The failure domain whose targets are meant.
+    pub domain: Arc<str>,
+    /// What the request is about.
+    pub object: Option<u64>,
+    /// The rank; 0 is the most urgent.
+    pub priority: u32,
+    /// The time left until the objective, in milliseconds.
+    pub objective_ms: i64,
+    /// The time left until the deadline.
+    pub deadline: Duration,
+    /// The longest wait that may end in a refusal.
+    pub patience: Duration,
+    /// The targets that the request was sent to before.
+    pub tried: Vec<Arc<str>>,
+}
+
+impl Handler<Acquire> for FleetActor {
+    type Result = ResponseFuture<Verdict>;
+
+    fn handle(&mut self, msg: Acquire, _: &mut Context<Self>) -> Self::Result {
+        let (sender, receiver) = oneshot::channel();
+        self.asking.push((msg.serial, sender));
+        let process = self.fleet.config.me.process;
+        let effects = self.fleet.ask(self.now(), msg.into_message(process));
+        self.run(effects);
+        Box::pin(async move {
+            let unreachable = Verdict::Refuse(Refused::Unreachable);
+            receiver.await.unwrap_or(unreachable)
+        })
+    }
+}
+
+impl Acquire {
+    fn into_message(self, process: u64) -> AskMessage {
+        AskMessage {
+            process,
+            serial: self.serial,
+            service: self.service.to_string(),
+            domain: self.domain.to_string(),
+            object: self.object,
+            priority: self.priority,
+            objective_ms: self.objective_ms,
+            deadline_ms: self.deadline.as_millis() as u64,
+            patience_ms: self.patience.as_millis() as u64,
+            tried: self.tried.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
+
+/// Gives a place back, or withdraws an ask.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Release {
+    /// The number of the ask.
+    pub serial: u64,
+    /// What became of the request.
+    pub report: Evidence,
+}
+
+/// What is known of a request that had a place.
+pub type Evidence = pimento_broker::Report;
+
+impl Handler<Release> for FleetActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: Release, _: &mut Context<Self>) {
+        self.asking.retain(|(serial, _)| *serial != msg.serial);
+        let effects = self.fleet.done(self.now(), msg.serial, &msg.report);
+        self.run(effects);
+    }
+}
+
+/// A target's own report; the answer is whether it may be acknowledged.
+#[derive(Debug, Message)]
+#[rtype(result = "bool")]
+pub enum Report {
+    /// The state of a lifetime.
+    State(Target),
+    /// The end of one.
+    Leave {
+        /// The name.
+        id: String,
+        /// When the lifetime began, if it said so.
+        born: Option<u64>,
+    },
+}
+
+/// The longest that a report waits to be known: less than the second after
+/// which a target asks another VM.
+const REPORT: Duration = Duration::from_millis(900);
+
+impl Handler<Report> for FleetActor {
+    type Result = ResponseFuture<bool>;
+
+    fn handle(&mut self, msg: Report, _: &mut Context<Self>) -> Self::Result {
+        let now = self.now();
+        let (ticket, effects) = match &msg {
+            Report::State(target) => self.fleet.report(now, target),
+            Report::Leave { id, born } => self.fleet.leave(now, id, *born),
+        };
+        let known = ticket.map(|ticket| {
+            let (sender, receiver) = oneshot::channel();
+            self.reporting.push((ticket, sender));
+            receiver
+        });
+        self.run(effects);
+        Box::pin(async move {
+            let Some(known) = known else { return true };
+            let known = tokio::time::timeout(REPORT, known).await;
+            matches!(known, Ok(Ok(())))
+        })
+    }
+}
+
+/// Takes the items that this control VM has applied.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct SetCatalog(pub Arc<Catalog>);
+
+impl Handler<SetCatalog> for FleetActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: SetCatalog, _: &mut Context<Self>) {
+        let effects = self.fleet.set_catalog(self.now(), msg.0);
+        self.run(effects);
+    }
+}
+
+/// Notes how far this process has come, and newer seeds.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub enum SetStage {
+    /// How far the process has come.
+    Stage(Stage),
+    /// The control VMs of changed settings.
+    Seeds(Vec<SocketAddr>),
+}
+
+impl Handler<SetStage> for FleetActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: SetStage, _: &mut Context<Self>) {
+        match msg {
+            SetStage::Stage(stage) => {
+                let effects = self.fleet.set_stage(self.now(), stage);
+                self.run(effects);
+            }
+            SetStage::Seeds(seeds) => self.fleet.set_seeds(seeds),
+        }
+    }
+}
+
+/// Asks where callers of a failure domain are to go.
+#[derive(Debug, Message)]
+#[rtype(result = "Vec<SocketAddr>")]
+pub struct GetEntries(pub String);
+
+impl Handler<GetEntries> for FleetActor {
+    type Result = MessageResult<GetEntries>;
+
+    fn handle(&mut self, msg: GetEntries, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.fleet.entries(self.now(), &msg.0))
+    }
+}
+
+/// Asks for the processes that this one knows of.
+#[derive(Debug, Message)]
+#[rtype(result = "Vec<Node>")]
+pub struct GetNodes;
+
+impl Handler<GetNodes> for FleetActor {
+    type Result = MessageResult<GetNodes>;
+
+    fn handle(&mut self, _: GetNodes, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.fleet.nodes(self.now()))
+    }
+}
--- /dev/null
+++ b/crates/pimento_fleet/src/asks.rs
@@ -0,0 +1,86 @@
+//! Asks of this process that wait for another VM's verdict.
+
+use crate::message::AskMessage;
+use pimento_core::Time;
+use std::{net::SocketAddr, time::Duration};
+
+/// The time after which an ask without any answer is sent again.
+const AGAIN: Duration = Duration::from_millis(80);
+/// How often an ask is sent until the other VM counts as out of reach.
+const TRIES: u32 = 3;
+/// The time after which an ask that waits there is sent again, in case the
+/// verdict was lost.
+const POLL: Duration = Duration::from_millis(250);
+
+/// An ask without a verdict.
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    pub ask: AskMessage,
+    pub to: SocketAddr,
+    /// When the ask was made.
+    pub since: Time,
+    pub due: Time,
+    pub deadline: Time,
+    /// How often it was sent since the last answer.
+    pub tries: u32,
+}
+
+/// Asks of this process that wait for another VM's verdict.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Asks(Vec<Pending>);
+
+impl Asks {
+    pub(crate) fn begin(&mut self, now: Time, to: SocketAddr, ask: AskMessage) {
+        let deadline = now + Duration::from_millis(ask.deadline_ms);
+        self.0.push(Pending {
+            ask,
+            to,
+            since: now,
+            due: now + AGAIN,
+            deadline,
+            tries: 1,
+        });
+    }
+
+    /// Takes an ask that has its verdict.
+    pub(crate) fn take(&mut self, serial: u64) -> Option<Pending> {
+        let at = self.0.iter().position(|p| p.ask.serial == serial)?;
+        Some(self.0.swap_remove(at))
+    }
+
+    /// Notes that an ask waits at the other VM.
+    pub(crate) fn queued(&mut self, now: Time, serial: u64) {
+        if let Some(pending) = self.0.iter_mut().find(|p| p.ask.serial == serial) {
+            pending.tries = 0;
+            pending.due = now + POLL;
+        }
+    }
+
+    /// Asks to send again, and asks that are given up.
+    pub(crate) fn due(&mut self, now: Time) -> (Vec<(SocketAddr, AskMessage)>, Vec<Pending>) {
+        let over = |p: &mut Pending| p.deadline <= now || (p.due <= now && p.tries >= TRIES);
+        let given_up = self.0.extract_if(.., over).collect();
+        let mut again = Vec::new();
+        for pending in self.0.iter_mut().filter(|p| p.due <= now) {
+            pending.tries += 1;
+            pending.due = now + AGAIN;
+            again.push((pending.to, pending.remaining(now)));
+        }
+        (again, given_up)
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl Pending {
+    /// The ask with the times that are left now.
+    fn remaining(&self, now: Time) -> AskMessage {
+        let passed = now.since(self.since).as_millis() as u64;
+        let mut ask = self.ask.clone();
+        ask.objective_ms -= passed as i64;
+        ask.deadline_ms = ask.deadline_ms.saturating_sub(passed);
+        ask
+    }
+}
--- /dev/null
+++ b/crates/pimento_fleet/src/effect.rs
@@ -0,0 +1,54 @@
+//! What the fleet asks of its shell.
+
+use crate::message::Body;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+/// What the shell must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send a message, which may be lost.
+    Send {
+        /// The receiver.
+        to: SocketAddr,
+        /// The message.
+        message: Outgoing,
+    },
+    /// An ask of this process is decided.
+    Decided {
+        /// Its number.
+        serial: u64,
+        /// What became of it.
+        verdict: Verdict,
+    },
+    /// News of a target are known wherever they must be.
+    Known {
+        /// The number that the report was given.
+        ticket: u64,
+    },
+    /// What requests are decided by has changed.
+    Changed,
+}
+
+/// A message to send.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outgoing(pub(crate) Body);
+
+/// What became of an ask.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// A place on a target.
+    Grant(Arc<str>),
+    /// No place.
+    Refuse(Refused),
+}
+
+/// Why there is no place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refused {
+    /// All places are taken for about so long.
+    Full(Duration),
+    /// No target of the failure domain can be used.
+    Unusable,
+    /// The VM that grants the places did not answer.
+    Unreachable,
+}
--- /dev/null
+++ b/crates/pimento_fleet/src/granting.rs
@@ -0,0 +1,317 @@
+//! Places: who grants them, and what becomes of asks.
+
+use crate::{
+    Effect, Fleet, Node, Refused, Role, Verdict,
+    fleet::send,
+    message::{AskMessage, Body, Done, DonePlace, VerdictKind, VerdictMessage},
+};
+use pimento_broker::{Ask, AskId, Effect as Decision, Ending, Report, Wait};
+use pimento_core::{Time, hash};
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+
+/// The asking processes that are remembered.
+const ASKERS: usize = 4_096;
+
+/// How often a returned place is named, in case a datagram is lost.
+const RETURNS: usize = 3;
+
+impl Fleet {
+    /// Asks for a place; [`Effect::Decided`] tells what became of it.
+    pub(crate) fn ask(&mut self, now: Time, ask: AskMessage) -> Vec<Effect> {
+        let Some(to) = self.granter(&ask.domain, &ask.service) else {
+            return self.grant(now, &ask);
+        };
+        let message = send(to, Body::Ask(ask.clone()));
+        self.asks.begin(now, to, ask);
+        vec![message]
+    }
+
+    /// Gives a place back, or withdraws an ask.
+    pub fn done(&mut self, now: Time, serial: u64, report: &Report) -> Vec<Effect> {
+        if let Some(pending) = self.asks.take(serial) {
+            return vec![self.give_back(pending.to, done_place(serial, report))];
+        }
+        let Some(at) = self.holders.iter().position(|(s, _)| *s == serial) else {
+            let process = self.config.me.process;
+            return self.finish(now, AskId { process, serial }, report);
+        };
+        match self.holders.swap_remove(at).1 {
+            Some(to) => vec![self.give_back(to, done_place(serial, report))],
+            None => {
+                let process = self.config.me.process;
+                self.finish(now, AskId { process, serial }, report)
+            }
+        }
+    }
+
+    /// Sends asks again that got no answer, and gives up on others.
+    pub(crate) fn chase(&mut self, now: Time) -> Vec<Effect> {
+        let (again, given_up) = self.asks.due(now);
+        let mut effects: Vec<_> = again
+            .into_iter()
+            .map(|(to, ask)| send(to, Body::Ask(ask)))
+            .collect();
+        for pending in given_up {
+            if pending.deadline > now {
+                self.suspect(now, pending.to);
+            }
+            let serial = pending.ask.serial;
+            let cancelled = done_place(serial, &cancelled());
+            effects.push(self.give_back(pending.to, cancelled));
+            let verdict = Verdict::Refuse(Refused::Unreachable);
+            effects.push(Effect::Decided { serial, verdict });
+        }
+        effects
+    }
+
+    /// Takes another process's ask.
+    pub(crate) fn asked(&mut self, now: Time, from: SocketAddr, ask: &AskMessage) -> Vec<Effect> {
+        self.remember_asker(ask.process, from);
+        let effects = self.grant(now, ask);
+        let answered = |e: &Effect| {
+            let Effect::Send { message, .. } = e else {
+                return false;
+            };
+            matches!(&message.0, Body::Verdict(v) if v.serial == ask.serial)
+        };
+        if effects.iter().any(answered) {
+            return effects;
+        }
+        let kind = Some(VerdictKind::Queued(true));
+        let serial = ask.serial;
+        let queued = Body::Verdict(VerdictMessage { serial, kind });
+        effects.into_iter().chain([send(from, queued)]).collect()
+    }
+
+    /// Takes the verdict on an ask of this process.
+    pub(crate) fn decided(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        message: VerdictMessage,
+    ) -> Vec<Effect> {
+        let serial = message.serial;
+        let Some(kind) = message.kind else {
+            return Vec::new();
+        };
+        if matches!(kind, VerdictKind::Queued(_)) {
+            self.asks.queued(now, serial);
+            return Vec::new();
+        }
+        if self.asks.take(serial).is_none() {
+            return self.decline(from, serial, &kind);
+        }
+        let verdict = match kind {
+            VerdictKind::Grant(target) => {
+                self.holders.push((serial, Some(from)));
+                Verdict::Grant(Arc::from(target))
+            }
+            VerdictKind::Refuse(ms) => Verdict::Refuse(Refused::Full(Duration::from_millis(ms))),
+            VerdictKind::Unusable(_) | VerdictKind::Queued(_) => Verdict::Refuse(Refused::Unusable),
+        };
+        vec![Effect::Decided { serial, verdict }]
+    }
+
+    /// Gives back a place that nobody waits for any more.
+    fn decline(&mut self, from: SocketAddr, serial: u64, kind: &VerdictKind) -> Vec<Effect> {
+        let held = self.holders.iter().any(|(s, _)| *s == serial);
+        if held || !matches!(kind, VerdictKind::Grant(_)) {
+            return Vec::new();
+        }
+        let cancelled = done_place(serial, &cancelled());
+        vec![self.give_back(from, cancelled)]
+    }
+
+    /// Takes places back that other processes return.
+    pub(crate) fn returned(&mut self, now: Time, done: &Done) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for place in &done.places {
+            let id = AskId {
+                process: done.process,
+                serial: place.serial,
+            };
+            effects.extend(self.finish(now, id, &report(place)));
+        }
+        effects
+    }
+
+    fn finish(&mut self, now: Time, id: AskId, report: &Report) -> Vec<Effect> {
+        let decided = self.broker.finish(now, &id, report);
+        self.broker_effects(decided)
+    }
+
+    fn grant(&mut self, now: Time, ask: &AskMessage) -> Vec<Effect> {
+        let decided = self.broker.submit(now, read(now, ask));
+        self.broker_effects(decided)
+    }
+
+    /// Carries the broker's decisions to those who asked.
+    pub(crate) fn broker_effects(&mut self, decisions: Vec<Decision>) -> Vec<Effect> {
+        let me = self.config.me.process;
+        let mut effects = Vec::new();
+        for decision in decisions {
+            let (Decision::Grant { id, .. } | Decision::Refuse { id, .. }) = &decision;
+            let id = *id;
+            if id.process == me {
+                effects.push(self.own_decision(id.serial, decision));
+            } else if let Some(to) = self.asker(id.process) {
+                let message = VerdictMessage {
+                    serial: id.serial,
+                    kind: Some(verdict_kind(decision)),
+                };
+                effects.push(send(to, Body::Verdict(message)));
+            }
+        }
+        effects
+    }
+
+    fn own_decision(&mut self, serial: u64, decision: Decision) -> Effect {
+        let verdict = match decision {
+            Decision::Grant { target, .. } => {
+                self.holders.push((serial, None));
+                Verdict::Grant(target)
+            }
+            Decision::Refuse { wait, .. } => Verdict::Refuse(match wait {
+                Wait::For(wait) => Refused::Full(wait),
+                Wait::Unknown => Refused::Unusable,
+            }),
+        };
+        Effect::Decided { serial, verdict }
+    }
+
+    /// The process that grants the places of a service's targets in a failure
+    /// domain; none if that is this one.
+    ///
+    /// All processes that know the same ones choose alike. Only one of the
+    /// domain is chosen while any lives there; without, one of its region.
+    fn granter(&self, domain: &str, service: &str) -> Option<SocketAddr> {
+        let region = self.config.region(domain);
+        let usable = |n: &&Node| n.ready() && !self.suspects.iter().any(|(a, _)| *a == n.address);
+        let entries = || self.members.of(Role::Entry).filter(usable);
+        let me = &self.config.me;
+        let own = me.role == Role::Entry as i32 && me.stage == crate::Stage::Ready as i32;
+        let key = |address: &str| hash::weight(service, address);
+        let local = entries().filter(|n| n.info.domain == domain);
+        let regional = entries().filter(|n| self.config.region(&n.info.domain) == region);
+        let best = |nodes: Vec<&Node>, own: bool| {
+            let mut all: Vec<_> = nodes
+                .iter()
+                .map(|n| (key(&n.info.address), Some(n.address)))
+                .collect();
+            if own {
+                all.push((key(&me.address), None));
+            }
+            all.into_iter().max_by_key(|(key, _)| *key)
+        };
+        let in_domain = own && me.domain == domain;
+        let in_region = own && self.config.region(&me.domain) == region;
+        let chosen = best(local.collect(), in_domain)
+            .or_else(|| best(regional.collect(), in_region))
+            .or_else(|| best(entries().collect(), own))?;
+        chosen.1.filter(|a| Some(*a) != me.socket())
+    }
+
+    /// Notes where an asking process is reached.
+    fn remember_asker(&mut self, process: u64, from: SocketAddr) {
+        self.askers.retain(|(other, _)| *other != process);
+        self.askers.push((process, from));
+        if self.askers.len() > ASKERS {
+            self.askers.remove(0);
+        }
+    }
+
+    fn asker(&self, process: u64) -> Option<SocketAddr> {
+        let found = self.askers.iter().find(|(other, _)| *other == process);
+        found.map(|(_, address)| *address)
+    }
+
+    fn give_back(&mut self, to: SocketAddr, place: DonePlace) -> Effect {
+        let found = self.returned.iter().position(|(a, _)| *a == to);
+        let at = found.unwrap_or_else(|| {
+            self.returned.push((to, VecDeque::new()));
+            self.returned.len() - 1
+        });
+        let recent = &mut self.returned[at].1;
+        recent.push_front(place);
+        recent.truncate(RETURNS);
+        let done = Done {
+            process: self.config.me.process,
+            places: recent.iter().copied().collect(),
+        };
+        send(to, Body::Done(done))
+    }
+}
+
+/// The ask of a message, with times on this process's clock.
+fn read(now: Time, ask: &AskMessage) -> Ask {
+    let left = u64::try_from(ask.objective_ms);
+    let objective = match left {
+        Ok(ms) => now + Duration::from_millis(ms),
+        Err(_) => now - Duration::from_millis(ask.objective_ms.unsigned_abs()),
+    };
+    Ask {
+        id: AskId {
+            process: ask.process,
+            serial: ask.serial,
+        },
+        service: Arc::from(ask.service.as_str()),
+        domain: Arc::from(ask.domain.as_str()),
+        object: ask.object,
+        priority: ask.priority,
+        objective,
+        deadline: now + Duration::from_millis(ask.deadline_ms),
+        patience: Duration::from_millis(ask.patience_ms),
+        tried: ask.tried.iter().map(|id| Arc::from(id.as_str())).collect(),
+    }
+}
+
+fn verdict_kind(decision: Decision) -> VerdictKind {
+    match decision {
+        Decision::Grant { target, .. } => VerdictKind::Grant(target.to_string()),
+        Decision::Refuse { wait, .. } => match wait {
+            Wait::For(wait) => VerdictKind::Refuse(wait.as_millis() as u64),
+            Wait::Unknown => VerdictKind::Unusable(true),
+        },
+    }
+}
+
+const fn cancelled() -> Report {
+    Report {
+        ending: Ending::Cancelled,
+        took: Duration::ZERO,
+        load: None,
+        cold: None,
+    }
+}
+
+/// The endings as numbers in messages.
+const ENDINGS: [Ending; 6] = [
+    Ending::Answered,
+    Ending::Shed,
+    Ending::Failed,
+    Ending::Broken,
+    Ending::Replaced,
+    Ending::Cancelled,
+];
+
+fn done_place(serial: u64, report: &Report) -> DonePlace {
+    let ending = ENDINGS.iter().position(|e| *e == report.ending);
+    DonePlace {
+        serial,
+        ending: ending.map_or(0, |i| i as u32),
+        took_us: report.took.as_micros() as u64,
+        running: report.load.map(|(running, _)| running),
+        waiting: report.load.map(|(_, waiting)| waiting),
+        cold_ms: report.cold.map(|cold| cold.as_millis() as u32),
+    }
+}
+
+fn report(place: &DonePlace) -> Report {
+    let ending = ENDINGS.get(place.ending as usize);
+    Report {
+        ending: ending.copied().unwrap_or(Ending::Cancelled),
+        took: Duration::from_micros(place.took_us),
+        load: place.running.zip(place.waiting),
+        cold: place.cold_ms.map(|ms| Duration::from_millis(ms.into())),
+    }
+}
--- /dev/null
+++ b/crates/pimento_fleet/src/lib.rs
@@ -0,0 +1,28 @@
+//! VMs that find each other, and what spreads between them in datagrams.
+//!
+//! [`Fleet`] is the pure core: which VMs live, what they still lack of the
+//! items and targets, which of them grants the places of which targets.
+//! [`FleetActor`] carries its datagrams and timers, and publishes a [`View`]
+//! that requests are decided by. See `docs/design/platform.md`.
+
+mod actor;
+mod asks;
+mod config;
+mod effect;
+mod fleet;
+mod granting;
+mod members;
+mod message;
+mod parts;
+mod receive;
+mod spread;
+mod view;
+
+pub use actor::{Acquire, Evidence, FleetActor, GetEntries, GetNodes, Release, Report, SetCatalog};
+pub use actor::{SetStage, StartError};
+pub use config::FleetConfig;
+pub use effect::{Effect, Refused, Verdict};
+pub use fleet::Fleet;
+pub use members::Node;
+pub use message::{NodeInfo, Role, Stage};
+pub use view::{Shared, TargetInfo, View};
--- /dev/null
+++ b/crates/pimento_fleet/src/receive.rs
@@ -0,0 +1,193 @@
+//! What a message changes.
+
+use crate::{
+    Effect, Fleet, NodeInfo, Role,
+    fleet::send,
+    message::{Beat, Body, Items, Message, Pong, Roster, Targets},
+};
+use bytes::Bytes;
+use pimento_core::Time;
+use pimento_registry::{Taken, Target};
+use prost::Message as _;
+use std::{net::SocketAddr, sync::Arc};
+
+impl Fleet {
+    /// Takes a datagram; one that can't be read is dropped.
+    pub fn receive(&mut self, now: Time, from: SocketAddr, datagram: Bytes) -> Vec<Effect> {
+        let Some(whole) = self.assembly.take(now, from, datagram) else {
+            return Vec::new();
+        };
+        let Some(body) = Message::decode(whole).ok().and_then(|m| m.body) else {
+            return Vec::new();
+        };
+        match body {
+            Body::Beat(beat) => self.beaten(now, from, &beat),
+            Body::Pong(pong) => self.ponged(now, from, &pong),
+            Body::Roster(roster) => self.listed(now, from, &roster),
+            Body::Items(items) => self.merge_items(now, items),
+            Body::Targets(targets) => self.compare(now, from, &targets),
+            Body::Announce(news) => {
+                let mut effects = self.take_targets(now, &news.targets);
+                effects.push(send(from, Body::Heard(news.number)));
+                effects
+            }
+            Body::Heard(number) => {
+                self.spread.heard(&from, number);
+                self.settle_news()
+            }
+            Body::Ask(ask) => self.asked(now, from, &ask),
+            Body::Verdict(verdict) => self.decided(now, from, verdict),
+            Body::Done(done) => self.returned(now, &done),
+            Body::Bye(process) => {
+                self.members.leave(&from, process);
+                vec![Effect::Changed]
+            }
+        }
+    }
+
+    fn beaten(&mut self, now: Time, from: SocketAddr, beat: &Beat) -> Vec<Effect> {
+        let changed = self.members.hear(now, from, &beat.info);
+        let full = !beat.buckets.is_empty();
+        if let Some(node) = self.members.get_mut(&from) {
+            node.revision = beat.revision;
+            if full {
+                node.follows = Some(now);
+            }
+        }
+        let mut effects = Vec::new();
+        if changed {
+            effects.push(Effect::Changed);
+        }
+        let differing = self.differing(&beat.buckets);
+        let mut roster = 0;
+        if full {
+            let nodes = self.roster_nodes(now);
+            roster = Self::roster_digest(&nodes);
+            if beat.roster != roster {
+                effects.push(send(from, Body::Roster(Roster { nodes })));
+            }
+        }
+        let pong = Pong {
+            info: self.config.me.clone(),
+            level: differing.is_empty(),
+            roster,
+        };
+        effects.push(send(from, Body::Pong(pong)));
+        if full && beat.info.role == Role::Entry as i32 {
+            effects.extend(self.items_for(from, beat.revision));
+        }
+        if !differing.is_empty() {
+            effects.push(self.targets_for(now, from, differing));
+        }
+        effects
+    }
+
+    /// The parts of the targets in which a process differs from this one.
+    fn differing(&self, buckets: &[u32]) -> Vec<u32> {
+        let own = self.registry.buckets().iter().zip(buckets).enumerate();
+        let differing = own.filter(|(_, (own, other))| own != other);
+        differing.map(|(i, _)| i as u32).collect()
+    }
+
+    fn targets_for(&self, now: Time, to: SocketAddr, buckets: Vec<u32>) -> Effect {
+        let inside = buckets.iter();
+        let targets = inside.flat_map(|b| self.registry.bucket(now, *b as usize));
+        let targets = targets.collect();
+        send(to, Body::Targets(Targets { buckets, targets }))
+    }
+
+    fn ponged(&mut self, now: Time, from: SocketAddr, pong: &Pong) -> Vec<Effect> {
+        let changed = self.members.hear(now, from, &pong.info);
+        let entry = self.config.me.role == Role::Entry as i32;
+        if pong.roster != 0 && entry {
+            self.level |= pong.level;
+            if pong.roster == self.roster {
+                self.members.confirm(now);
+            }
+        }
+        let mut effects = self.mature();
+        if changed {
+            effects.push(Effect::Changed);
+        }
+        effects
+    }
+
+    fn listed(&mut self, now: Time, from: SocketAddr, roster: &Roster) -> Vec<Effect> {
+        let me = self.config.me.socket();
+        let read = |info: &NodeInfo| Some((info.socket()?, info.clone()));
+        let nodes = roster.nodes.iter().filter_map(read);
+        let others: Vec<_> = nodes.filter(|(address, _)| Some(*address) != me).collect();
+        if self.config.me.role == Role::Control as i32 {
+            // What a control VM hears itself goes first; others only lead it
+            // to control VMs that it doesn't know.
+            for (address, info) in others {
+                let control = info.role == Role::Control as i32;
+                if control && self.members.get(&address).is_none() {
+                    self.members.hear(now, address, &info);
+                }
+            }
+            return Vec::new();
+        }
+        self.roster = Self::roster_digest(&roster.nodes);
+        // Whether a control VM can be reached only this process can tell.
+        let known = |a: &SocketAddr| self.members.get(a).is_some_and(|n| n.is(Role::Control));
+        let news = others.into_iter().filter(|(address, _)| !known(address));
+        let news: Vec<_> = news.collect();
+        self.members.replace(now, news);
+        self.members.hear_again(now, &from);
+        let mut effects = self.mature();
+        effects.push(Effect::Changed);
+        effects
+    }
+
+    fn merge_items(&mut self, now: Time, items: Items) -> Vec<Effect> {
+        if self.config.me.role == Role::Control as i32 {
+            return Vec::new();
+        }
+        let catalog = Arc::make_mut(&mut self.catalog);
+        catalog.merge(items.held);
+        if items.from <= catalog.revision() {
+            catalog.reach(items.to);
+        }
+        let mut effects = self.refresh_broker(now);
+        effects.extend(self.mature());
+        effects.push(Effect::Changed);
+        effects
+    }
+
+    /// Takes the targets of differing parts and answers with what the sender
+    /// lacks.
+    fn compare(&mut self, now: Time, from: SocketAddr, message: &Targets) -> Vec<Effect> {
+        let mut effects = self.take_targets(now, &message.targets);
+        let inside = message.buckets.iter();
+        let own = inside.flat_map(|b| self.registry.bucket(now, *b as usize));
+        let sent = |t: &Target| message.targets.iter().any(|other| same(other, t));
+        let lacking: Vec<_> = own.filter(|t| !sent(t)).collect();
+        if !lacking.is_empty() {
+            let targets = Targets {
+                buckets: Vec::new(),
+                targets: lacking,
+            };
+            effects.push(send(from, Body::Targets(targets)));
+        }
+        effects
+    }
+
+    fn take_targets(&mut self, now: Time, targets: &[Target]) -> Vec<Effect> {
+        let mut changed = false;
+        for target in targets {
+            changed |= self.registry.take(now, target) == Taken::News;
+        }
+        if !changed {
+            return Vec::new();
+        }
+        let mut effects = self.refresh_broker(now);
+        effects.push(Effect::Changed);
+        effects
+    }
+}
+
+/// Whether two descriptions of a lifetime say the same.
+fn same(a: &Target, b: &Target) -> bool {
+    a.id == b.id && a.born == b.born && a.stage == b.stage && a.slots == b.slots
+}
--- /dev/null
+++ b/crates/pimento_gateway/src/gateway.rs
@@ -0,0 +1,141 @@
+//! The gateway of an entry VM.
+
+use crate::{
+    Dialect, Idle, ResponseBody,
+    budgets::{Budgets, Repeats},
+    course::Course,
+    inbound::Inbound,
+    lines::Lines,
+    pool::Pool,
+};
+use actix::Addr;
+use hyper::{Request, Response, body::Incoming};
+use pimento_core::Clock;
+use pimento_fleet::{FleetActor, Shared};
+use pimento_items::Split;
+use pimento_log::{Event, Logger, event};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+/// How long a caller's connection may stay idle until limits are known.
+const IDLE: Duration = Duration::from_secs(15);
+/// The largest head until limits are known, in bytes.
+const HEAD: usize = 16 * 1024;
+/// How often idle connections to targets are looked through.
+const SWEEP: Duration = Duration::from_secs(2);
+
+/// What a gateway needs.
+#[derive(Clone, Debug)]
+pub struct GatewayConfig {
+    /// The names of headers.
+    pub dialect: Dialect,
+    /// The region of this VM.
+    pub region: Arc<str>,
+    /// The number of regions.
+    pub regions: usize,
+    /// What all VMs together may repeat: for each request, and beyond that
+    /// within the window.
+    pub repeat_ratio: f64,
+    /// See [`Self::repeat_ratio`].
+    pub repeat_slack: f64,
+    /// See [`Self::repeat_ratio`].
+    pub repeat_window: Duration,
+}
+
+/// The gateway of an entry VM.
+#[derive(Clone, Debug)]
+pub struct Gateway(pub(crate) Rc<Inner>);
+
+#[derive(Debug)]
+pub(crate) struct Inner {
+    pub config: GatewayConfig,
+    pub repeats: Repeats,
+    pub fleet: Addr<FleetActor>,
+    pub shared: Shared,
+    pub log: Logger,
+    pub lines: Lines,
+    pub clock: Clock,
+    pub pool: Rc<Pool>,
+    pub budgets: Budgets,
+    /// How the routes with several services are divided, by name.
+    pub splits: RefCell<Vec<(Arc<str>, Split)>>,
+    pub serial: Cell<u64>,
+}
+
+impl Gateway {
+    /// A gateway that decides by a view and has places granted by a fleet.
+    pub fn new(
+        config: GatewayConfig,
+        fleet: Addr<FleetActor>,
+        shared: Shared,
+        log: Logger,
+    ) -> Self {
+        let repeats = Repeats {
+            ratio: config.repeat_ratio,
+            slack: config.repeat_slack,
+            window: config.repeat_window,
+        };
+        let inner = Rc::new(Inner {
+            config,
+            repeats,
+            fleet,
+            shared,
+            log,
+            lines: Lines::default(),
+            clock: Clock::start(),
+            pool: Rc::default(),
+            budgets: Budgets::default(),
+            splits: RefCell::default(),
+            serial: Cell::new(1),
+        });
+        let pool = Rc::clone(&inner.pool);
+        actix_rt::spawn(async move {
+            loop {
+                tokio::time::sleep(SWEEP).await;
+                pool.sweep();
+            }
+        });
+        Self(inner)
+    }
+
+    /// What callers may send, by the limits in force.
+    pub fn idle(&self) -> Idle {
+        let view = self.0.shared.load();
+        let limits = view.catalog.limits();
+        Idle {
+            limit: limits.map_or(IDLE, |l| Duration::from_millis(l.idle_ms.into())),
+            head: limits.map_or(HEAD, |l| l.head_bytes as usize),
+        }
+    }
+
+    /// Answers a caller's request.
+    pub async fn answer(self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let view = self.0.shared.load_full();
+        let limits = view.catalog.limits();
+        let inbound = Inbound::read(request, &self.0.config.dialect, limits).await;
+        match inbound {
+            Ok(inbound) => Course::new(&self.0, view, inbound).run().await,
+            Err(answer) => {
+                if let Some(dropped) = self.0.lines.allow(true) {
+                    event!(self.0.log, Event::RequestFailed, "reason" => answer.reason(),
+                        "status" => answer.status().as_u16(), "dropped" => dropped);
+                }
+                answer
+            }
+        }
+        .into_response()
+    }
+}
+
+impl Inner {
+    /// A number that was never used before.
+    pub(crate) fn next_serial(&self) -> u64 {
+        let serial = self.serial.get();
+        self.serial.set(serial + 1);
+        serial
+    }
+}
--- /dev/null
+++ b/crates/pimento_gateway/src/placing.rs
@@ -0,0 +1,130 @@
+//! Getting a place on a target.
+
+use crate::gateway::Inner;
+use pimento_broker::{Ending, Place};
+use pimento_fleet::{Acquire, Evidence, Refused, Release, Verdict};
+use std::{rc::Rc, sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// The failure domains that a request tries.
+const DOMAINS: usize = 4;
+
+/// A place that a request asks for or has; it is given back when dropped.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    inner: Rc<Inner>,
+    serial: u64,
+    report: Option<Evidence>,
+}
+
+impl Permit {
+    /// Gives the place back with what is known of the request.
+    pub(crate) fn finish(mut self, report: Evidence) {
+        self.report = Some(report);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let cancelled = Evidence {
+            ending: Ending::Cancelled,
+            took: Duration::ZERO,
+            load: None,
+            cold: None,
+        };
+        self.inner.fleet.do_send(Release {
+            serial: self.serial,
+            report: self.report.take().unwrap_or(cancelled),
+        });
+    }
+}
+
+/// What a request needs.
+#[derive(Debug)]
+pub(crate) struct Need<'a> {
+    pub service: &'a Arc<str>,
+    pub places: &'a [Place],
+    pub object: Option<u64>,
+    pub priority: u32,
+    pub objective: Instant,
+    pub deadline: Instant,
+    pub patience: Duration,
+    pub tried: &'a [Arc<str>],
+}
+
+/// Why a request gets no place.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum NoPlace {
+    /// All are taken for about so long.
+    Full(Duration),
+    /// No target can be used.
+    Unusable,
+}
+
+/// Asks in one failure domain after the other until a place is granted.
+pub(crate) async fn place(
+    inner: &Rc<Inner>,
+    need: &Need<'_>,
+) -> Result<(Arc<str>, Permit), NoPlace> {
+    let mut refusal = NoPlace::Unusable;
+    for place in need.places.iter().take(DOMAINS) {
+        let mut verdict = ask(inner, need, place).await;
+        if matches!(verdict, Err(Refused::Unreachable)) {
+            // Another VM grants in its stead.
+            verdict = ask(inner, need, place).await;
+        }
+        match verdict {
+            Ok(granted) => return Ok(granted),
+            Err(Refused::Full(wait)) => refusal = sooner(refusal, wait),
+            Err(Refused::Unusable | Refused::Unreachable) => {}
+        }
+        if Instant::now() >= need.deadline {
+            break;
+        }
+    }
+    Err(refusal)
+}
+
+const fn sooner(refusal: NoPlace, wait: Duration) -> NoPlace {
+    match refusal {
+        NoPlace::Full(other) if other.as_nanos() < wait.as_nanos() => refusal,
+        _ => NoPlace::Full(wait),
+    }
+}
+
+async fn ask(
+    inner: &Rc<Inner>,
+    need: &Need<'_>,
+    place: &Place,
+) -> Result<(Arc<str>, Permit), Refused> {
+    let serial = inner.next_serial();
+    let permit = Permit {
+        inner: Rc::clone(inner),
+        serial,
+        report: None,
+    };
+    let now = Instant::now();
+    let acquire = Acquire {
+        serial,
+        service: Arc::clone(need.service),
+        domain: Arc::clone(&place.domain),
+        object: need.object,
+        priority: need.priority,
+        objective_ms: signed_ms(need.objective, now),
+        deadline: need.deadline.saturating_duration_since(now),
+        patience: need.patience,
+        tried: need.tried.to_vec(),
+    };
+    match inner.fleet.send(acquire).await {
+        Ok(Verdict::Grant(target)) => Ok((target, permit)),
+        Ok(Verdict::Refuse(refused)) => Err(refused),
+        Err(_) => Err(Refused::Unreachable),
+    }
+}
+
+/// The milliseconds until a moment, below zero if it has passed.
+fn signed_ms(at: Instant, now: Instant) -> i64 {
+    let ahead = at.saturating_duration_since(now).as_millis() as i64;
+    let behind = now.saturating_duration_since(at).as_millis() as i64;
+    ahead - behind
+}
--- a/crates/pimento_log/src/event.rs
+++ b/crates/pimento_log/src/event.rs
@@ -46,6 +46,10 @@
     StopBegun = 102, Info, "graceful shutdown begun";
     /// A planned stop has ended.
     StopEnded = 103, Info, "graceful shutdown ended";
+    /// The process began or ceased to know enough to serve.
+    ReadyChanged = 104, Info, "readiness changed";
+    /// The settings were read again.
+    SettingsRead = 105, Info, "settings read again";
     /// A link was opened.
     LinkOpened = 201, Debug, "link opened";
     /// A link was closed and will be opened again.
@@ -68,10 +72,18 @@
     RequestFailed = 501, Info, "request failed";
     /// An announcement was refused.
     AnnounceRefused = 502, Warning, "announcement refused";
+    /// A request was answered, refused or broken off.
+    RequestEnded = 503, Info, "request ended";
+    /// A request was sent to a target and did not get its answer.
+    AttemptFailed = 504, Info, "attempt failed";
+    /// A target's report changed what is known of it.
+    TargetReported = 505, Info, "target report";
     /// This control VM became leader.
     LeaderElected = 601, Info, "elected leader";
     /// This control VM is no longer leader.
     LeaderLost = 602, Warning, "leadership lost";
+    /// An operator's call was accepted, refused or left open.
+    CallDecided = 603, Info, "operator call decided";
     /// The data folder was opened.
     StoreOpened = 701, Info, "data folder opened";
     /// A write or sync failed; nothing more is acknowledged.
--- a/crates/pimento_log/src/lib.rs
+++ b/crates/pimento_log/src/lib.rs
@@ -7,7 +7,7 @@
 mod root;
 
 pub use event::Event;
-pub use root::{discard, root};
+pub use root::{discard, root, root_to};
 pub use slog::Logger;
 
 /// Logs a numbered event with its level, number, name and fields.
--- a/crates/pimento_state/src/command.rs
+++ b/crates/pimento_state/src/command.rs
@@ -1,5 +1,6 @@
 //! Commands of the replicated log and their outcomes.
 
+use pimento_items::{Change, Refusal};
 use pimento_ledger as ledger;
 use pimento_rules::{Digest, Note, NoteError, Offer, Record};
 
@@ -10,7 +11,7 @@
     #[prost(uint64, tag = "1")]
     pub time: u64,
     /// The change; none changes nothing.
-    #[prost(oneof = "Op", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Op", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub op: Option<Op>,
 }
 
@@ -38,6 +39,23 @@
     /// Changes nothing.
     #[prost(message, tag = "8")]
     Noop(()),
+    /// Changes items.
+    #[prost(message, tag = "9")]
+    Items(Change),
+    /// Begins or ends the evacuation of a failure domain.
+    #[prost(message, tag = "10")]
+    Evacuate(Evacuate),
+}
+
+/// Begins or ends the evacuation of a failure domain.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Evacuate {
+    /// The failure domain.
+    #[prost(string, tag = "1")]
+    pub domain: String,
+    /// Whether its targets are to get nothing.
+    #[prost(bool, tag = "2")]
+    pub on: bool,
 }
 
 impl Command {
@@ -60,7 +78,7 @@
     #[prost(uint64, tag = "1")]
     pub index: u64,
     /// The effect; none for a command that changes nothing.
-    #[prost(oneof = "Effect", tags = "2, 3")]
+    #[prost(oneof = "Effect", tags = "2, 3, 4")]
     pub effect: Option<Effect>,
 }
 
@@ -73,6 +91,37 @@
     /// What an operation of the ledger did.
     #[prost(message, tag = "3")]
     Ledger(ledger::Outcome),
+    /// What became of a change of items.
+    #[prost(message, tag = "4")]
+    Items(ItemsOutcome),
+}
+
+/// What became of a change of items.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct ItemsOutcome {
+    /// Why nothing of it took effect; none if it is in force.
+    #[prost(message, optional, tag = "1")]
+    pub refusal: Option<ItemsRefusal>,
+}
+
+/// Why a change of items is refused.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct ItemsRefusal {
+    /// Whether a version is held with another content.
+    #[prost(bool, tag = "1")]
+    pub conflict: bool,
+    /// The item, the field and what is wrong with it, for the operator.
+    #[prost(string, tag = "2")]
+    pub detail: String,
+}
+
+impl From<Refusal> for ItemsRefusal {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            conflict: matches!(refusal, Refusal::Conflict { .. }),
+            detail: refusal.to_string(),
+        }
+    }
 }
 
 /// What became of a proposed note.
--- a/crates/pimento_state/src/lib.rs
+++ b/crates/pimento_state/src/lib.rs
@@ -1,4 +1,4 @@
-//! The replicated state: release notes and ledger behind one command type.
+//! The replicated state: release notes, items and ledger behind one command type.
 //!
 //! The control group replicates encoded [`Command`]s; every control VM applies
 //! them in the order of the log and reaches the same [`State`] and the same
@@ -7,6 +7,8 @@
 mod command;
 mod state;
 
-pub use command::{Command, Effect, NoteFault, NoteKind, NoteOutcome, NoteRecord, Op, Outcome};
+pub use command::{Command, Effect, Evacuate, ItemsOutcome, ItemsRefusal, NoteFault};
+pub use command::{NoteKind, NoteOutcome, NoteRecord, Op, Outcome};
+pub use pimento_items as items;
 pub use pimento_ledger as ledger;
 pub use state::{RestoreError, State};
--- a/crates/pimento_state/src/state.rs
+++ b/crates/pimento_state/src/state.rs
@@ -1,6 +1,7 @@
 //! The state machine that the control group replicates.
 
-use crate::{Command, Effect, Op, Outcome};
+use crate::{Command, Effect, ItemsOutcome, Op, Outcome};
+use pimento_items::{Catalog, Change};
 use pimento_ledger::{ClaimView, Ledger, Slot};
 use pimento_rules::{Note, NoteBook, Record, Rules, RulesPull, RulesPush};
 use prost::Message as _;
@@ -11,6 +12,7 @@
 pub struct State {
     book: NoteBook,
     ledger: Ledger,
+    catalog: Arc<Catalog>,
 }
 
 /// A snapshot could not be decoded.
@@ -24,20 +26,30 @@
     book: Vec<u8>,
     #[prost(bytes = "vec", tag = "2")]
     ledger: Vec<u8>,
+    #[prost(bytes = "vec", tag = "3")]
+    catalog: Vec<u8>,
 }
 
 impl State {
     /// Applies the command at a log index; the same on every control VM.
     pub fn apply(&mut self, index: u64, command: &Command) -> Outcome {
         let time = command.time;
-        let effect = command.op.as_ref().and_then(|op| self.effect(time, op));
+        let effect = command
+            .op
+            .as_ref()
+            .and_then(|op| self.effect(index, time, op));
         Outcome { index, effect }
     }
 
-    fn effect(&mut self, time: u64, op: &Op) -> Option<Effect> {
+    fn effect(&mut self, index: u64, time: u64, op: &Op) -> Option<Effect> {
         let outcome = match op {
             Op::Noop(()) => return None,
             Op::Note(bytes) => return Some(Effect::Note(self.book.offer(time, bytes).into())),
+            Op::Items(change) => return Some(Effect::Items(self.offer(index, change))),
+            Op::Evacuate(evacuate) => {
+                Arc::make_mut(&mut self.catalog).evacuate(index, &evacuate.domain, evacuate.on);
+                return Some(Effect::Items(ItemsOutcome::default()));
+            }
             Op::Claim(claim) => self.ledger.claim(time, claim),
             Op::Finish(finish) => self.ledger.finish(time, finish),
             Op::Free(free) => self.ledger.free(time, free),
@@ -47,11 +59,18 @@
         Some(Effect::Ledger(outcome))
     }
 
+    fn offer(&mut self, index: u64, change: &Change) -> ItemsOutcome {
+        let done = Arc::make_mut(&mut self.catalog).offer(index, change);
+        let refusal = done.err().map(Into::into);
+        ItemsOutcome { refusal }
+    }
+
     /// Encodes the whole state.
     pub fn snapshot(&self) -> Vec<u8> {
         let wire = WireState {
             book: self.book.snapshot(),
             ledger: self.ledger.snapshot(),
+            catalog: self.catalog.encode(),
         };
         wire.encode_to_vec()
     }
@@ -67,6 +86,7 @@
         Ok(Self {
             book: NoteBook::restore(&wire.book).map_err(|e| fault(&e))?,
             ledger: Ledger::restore(&wire.ledger).map_err(|e| fault(&e))?,
+            catalog: Arc::new(Catalog::decode(&wire.catalog).map_err(|e| fault(&e))?),
         })
     }
 
@@ -75,6 +95,11 @@
         self.book.rules()
     }
 
+    /// The items of the operators.
+    pub const fn catalog(&self) -> &Arc<Catalog> {
+        &self.catalog
+    }
+
     /// What a VM with a version of the rules lacks.
     pub fn rules_delta(&self, have: u64) -> RulesPush {
         self.book.delta(have)
--- a/crates/pimentod/src/run.rs
+++ b/crates/pimentod/src/run.rs
@@ -1,7 +1,7 @@
 //! Running the roles of the settings.
 
 use anyhow::Context;
-use pimento_control::{Control, ControlConfig, Propose, Shutdown, restore_backup};
+use pimento_control::{Control, ControlConfig, Group, Propose, Shutdown, restore_backup};
 use pimento_entry::{Entry, Sockets};
 use pimento_link::{Key, Links};
 use pimento_log::{Event, Logger, event};
@@ -76,6 +76,8 @@
                 let config = ControlConfig {
                     vm: settings.vm.clone(),
                     peers: settings.control.clone(),
+                    group: Group::Fixed,
+                    listen: None,
                     data: data.clone(),
                     seed: rand::random(),
                 };
