Let a VM that lost its disk answer a leader that its settings don't list

Cause: a wiped control VM knows only the addresses of its settings. Change: the leader names the members to a VM that asks to join; entry VMs also take items from control VMs that they don't follow; revisions and member changes are logged. pimento_control::joining::wiped_member fails without the change.

--- a/crates/pimento_control/src/actor.rs
+++ b/crates/pimento_control/src/actor.rs
@@ -93,8 +93,10 @@
     pub(crate) client: ControlClient,
     pub(crate) log: Logger,
     clock: Instant,
+    /// The members as a leader named them that this VM asked to join.
+    pub(crate) told: Vec<(VmId, SocketAddr)>,
     /// The addresses of the members, sorted by name.
-    addresses: Vec<(VmId, SocketAddr)>,
+    pub(crate) addresses: Vec<(VmId, SocketAddr)>,
     /// Callers by the index of their entry.
     pub(crate) waiters: Vec<Waiter>,
     /// Callers whose read is not confirmed yet, by number.
@@ -190,6 +192,7 @@
             client,
             log,
             clock: Instant::now(),
+            told: Vec::new(),
             addresses: Vec::new(),
             waiters: Vec::new(),
             readers: Vec::new(),
@@ -277,7 +280,8 @@
         });
         let known: Vec<_> = known.collect();
         let listed = self.peers.iter().map(|p| (p.vm.clone(), p.address));
-        self.addresses = known.into_iter().chain(listed).collect();
+        let told = self.told.iter().cloned();
+        self.addresses = known.into_iter().chain(told).chain(listed).collect();
         self.addresses.sort_by(|a, b| a.0.cmp(&b.0));
         self.addresses.dedup_by(|a, b| a.0 == b.0);
     }
--- a/crates/pimento_control/src/join.rs
+++ b/crates/pimento_control/src/join.rs
@@ -3,11 +3,12 @@
 use crate::{
     Control,
     waiters::Done,
-    wire::{Answer, Join, Question},
+    wire::{Add, Answer, Join, Joining, Question},
 };
 use actix::prelude::*;
 use pimento_consensus::{Change, Refusal, Role};
 use pimento_core::VmId;
+use pimento_log::{Event, event};
 use std::time::Duration;
 
 /// The silence after which a voter is taken for lost, well above that of a VM
@@ -30,9 +31,21 @@
             address,
             instance: self.instance,
         });
-        // Without an answer it is asked again after the interval.
-        let asked = async move { drop(client.ask(join).await) };
-        ctx.spawn(asked.into_actor(self));
+        let asked = async move { client.ask(join).await };
+        let told = asked.into_actor(self).map(|answer, control, _| {
+            // Without an answer it is asked again after the interval.
+            if let Ok(Answer::Members(joining)) = answer {
+                control.learn_addresses(&joining.members);
+            }
+        });
+        ctx.spawn(told);
+    }
+
+    /// Notes where the members are reached, before the log tells it.
+    fn learn_addresses(&mut self, members: &[Add]) {
+        let read = |m: &Add| Some((VmId::new(&m.vm).ok()?, m.address.parse().ok()?));
+        self.told = members.iter().filter_map(read).collect();
+        self.addresses.clear();
     }
 
     /// Whether this VM takes part in the founding of the group and must not
@@ -60,8 +73,14 @@
             let answer = self.refused(&Refusal::NotLeader { leader });
             return done.send(answer);
         }
+        let told = status.members.list.iter().map(|m| Add {
+            vm: m.vm.clone(),
+            address: m.address.clone(),
+        });
+        let members = told.collect();
+        done.send(Answer::Members(Joining { members }));
         let Ok(vm) = VmId::new(&join.vm) else {
-            return done.send(Answer::Index(0));
+            return;
         };
         let change = match status.members.get(&vm) {
             None => Change::Add {
@@ -71,9 +90,10 @@
             Some(member) if member.instance != 0 && member.instance != join.instance => {
                 Change::Remove { vm }
             }
-            Some(_) => return done.send(Answer::Index(0)),
+            Some(_) => return,
         };
-        self.change_members(change, done, ctx);
+        event!(self.log, Event::MemberChange, "change" => ?change, "instance" => join.instance);
+        self.change_members(change, Done::new(drop), ctx);
     }
 
     /// Removes a voter that is lost for good, while enough others vote.
@@ -83,6 +103,8 @@
             return;
         }
         if let Some(vm) = self.raft.silent_voter(self.now(), LOST) {
+            event!(self.log, Event::MemberChange, "change" => "remove a silent voter",
+                "vm" => vm.as_str());
             // It is tried again while the voter stays silent.
             let done = Done::new(drop);
             self.change_members(Change::Remove { vm }, done, ctx);
--- a/crates/pimento_control/src/wire.rs
+++ b/crates/pimento_control/src/wire.rs
@@ -69,7 +69,7 @@
 /// The answer to an [`Ask`].
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Reply {
-    #[prost(oneof = "Answer", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Answer", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub answer: Option<Answer>,
 }
 
@@ -97,6 +97,17 @@
     /// What an operator looked at, as JSON; empty if there is none.
     #[prost(bytes = "bytes", tag = "7")]
     Json(Bytes),
+    /// The members of the group that the VM is being made one of.
+    #[prost(message, tag = "8")]
+    Members(Joining),
+}
+
+/// The members of the group that a VM is being made one of, through which it
+/// can answer a leader that its settings don't list.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Joining {
+    #[prost(message, repeated, tag = "1")]
+    pub members: Vec<Add>,
 }
 
 /// The VM does not lead.
--- a/crates/pimento_control/tests/support/mod.rs
+++ b/crates/pimento_control/tests/support/mod.rs
@@ -78,12 +78,27 @@
     }
 
     pub fn start(&mut self, i: usize) {
+        self.start_as(i, self.peers.clone(), Group::Fixed);
+    }
+
+    /// Starts a VM that knows only the first three.
+    pub fn start_open(&mut self, i: usize, found: bool) {
+        let group = Group::Open { found, voters: 5 };
+        self.start_as(i, self.peers[..3].to_vec(), group);
+    }
+
+    /// Gives a stopped VM an empty data folder.
+    pub fn wipe(&mut self, i: usize) {
+        self.folders[i] = tempfile::tempdir().unwrap();
+    }
+
+    fn start_as(&mut self, i: usize, peers: Vec<Peer>, group: Group) {
         let links = self.links(i);
         let config = ControlConfig {
             vm: self.peers[i].vm.clone(),
-            peers: self.peers.clone(),
-            group: Group::Fixed,
-            listen: None,
+            listen: (group != Group::Fixed).then_some(self.peers[i].address),
+            peers,
+            group,
             data: self.folders[i].path().to_owned(),
             seed: i as u64,
         };
--- a/crates/pimento_fleet/src/actor.rs
+++ b/crates/pimento_fleet/src/actor.rs
@@ -49,6 +49,8 @@
     reporting: Vec<(u64, oneshot::Sender<()>)>,
     /// Whether the process served when its state was last logged.
     ready: bool,
+    /// The revision of items that was logged last.
+    revision: u64,
 }
 
 impl FleetActor {
@@ -83,6 +85,7 @@
             asking: Vec::new(),
             reporting: Vec::new(),
             ready: false,
+            revision: 0,
         };
         Ok(Actor::start(actor))
     }
@@ -141,6 +144,10 @@
             event!(self.log, Event::ReadyChanged, "ready" => view.ready,
                 "targets" => targets, "revision" => revision, "vms" => view.vms);
         }
+        if view.catalog.revision() != self.revision {
+            self.revision = view.catalog.revision();
+            event!(self.log, Event::RulesApplied, "revision" => self.revision);
+        }
         self.shared.store(Arc::new(view));
     }
 }
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -73,7 +73,9 @@
             roster,
         };
         effects.push(send(from, Body::Pong(pong)));
-        if full && beat.info.role == Role::Entry as i32 {
+        // Also from a control VM that the sender does not follow: the one that
+        // it follows may lag behind.
+        if beat.info.role == Role::Entry as i32 {
             effects.extend(self.items_for(from, beat.revision));
         }
         if !differing.is_empty() {
--- a/crates/pimento_log/src/event.rs
+++ b/crates/pimento_log/src/event.rs
@@ -84,6 +84,8 @@
     LeaderLost = 602, Warning, "leadership lost";
     /// An operator's call was accepted, refused or left open.
     CallDecided = 603, Info, "operator call decided";
+    /// This leader asked for a change of the control group's members.
+    MemberChange = 604, Info, "member change asked for";
     /// The data folder was opened.
     StoreOpened = 701, Info, "data folder opened";
     /// A write or sync failed; nothing more is acknowledged.
