--- a/crates/pimento_gateway/src/course.rs
+++ b/crates/pimento_gateway/src/course.rs
@@ -295,6 +295,7 @@
         };
         event!(self.inner.log, Event::RequestEnded, "id" => &self.inbound.id,
             "status" => status.as_u16(), "reason" => answer.reason(),
+            "object" => self.inbound.object, "domain" => plan.and_then(|p| p.places.first()).map(|p| &*p.domain),
             "route" => plan.map(|p| &*p.name), "service" => plan.map(|p| &*p.service),
             "attempts" => self.attempts, "target" => self.tried.last().map(|t| &**t),
             "waited_ms" => self.waited.as_millis() as u64,
