Wait for the target that knows an object instead of running elsewhere

Cause: at the peak a request took any free target, most of which had not seen its object and ran it three times as long; that used up the places, and the answers came after the objective. Change: a request with an object waits for a sound target that knows it while that is soon free; free targets are chosen by a hash that all VMs share.

--- a/crates/pimento_broker/src/broker.rs
+++ b/crates/pimento_broker/src/broker.rs
@@ -110,7 +110,7 @@
         };
         let ahead = self.queue.ahead(now, &waiting);
         if ahead == 0
-            && let Some(at) = self.choose(now, &waiting.ask)
+            && let Some(at) = self.choose(now, &waiting)
         {
             return vec![self.grant(now, at, &waiting.ask)];
         }
@@ -180,10 +180,55 @@
     }
 
     /// The best target that is free for a request.
-    fn choose(&self, now: Time, ask: &Ask) -> Option<usize> {
+    ///
+    /// The load that it answers: objects that come again, on targets that
+    /// answer several times faster what they have seen. Running elsewhere takes
+    /// more places than waiting for the target that knows the object, and is
+    /// too late for the objective anyway; so the request waits while that is
+    /// soon free.
+    fn choose(&self, now: Time, waiting: &Waiting) -> Option<usize> {
+        let ask = &waiting.ask;
         let free = self.candidates(ask).filter(|(_, t)| t.free(now));
         let best = free.max_by_key(|(_, t)| t.fitness(now, ask.object));
-        best.map(|(at, _)| at)
+        let (at, target) = best?;
+        let warm = target.fitness(now, ask.object).warm;
+        (warm || !self.worth_waiting(now, waiting)).then_some(at)
+    }
+
+    /// Whether a busy target that knows a request's object is free in time.
+    fn worth_waiting(&self, now: Time, waiting: &Waiting) -> bool {
+        let Some(object) = waiting.ask.object else {
+            return false;
+        };
+        let Some(pool) = self.known_pool(&waiting.ask) else {
+            return false;
+        };
+        let knows = |t: &Target| t.is_warm(object) && t.sound() && !t.broken(now);
+        let mut known = self.candidates(&waiting.ask).filter(|(_, t)| knows(t));
+        let Some((_, target)) = known.next() else {
+            return false;
+        };
+        let others = self
+            .queue
+            .0
+            .iter()
+            .filter(|w| w.turn(now) < waiting.turn(now));
+        let rivals = others.filter(|w| w.ask.object.is_some_and(|o| target.is_warm(o)));
+        let turns = rivals.count() as f64 + 1.0;
+        let wait = pool
+            .warm
+            .mean(FIRST_PACE)
+            .mul_f64(turns / f64::from(target.view.slots));
+        let gain = pool
+            .fresh
+            .mean(FIRST_PACE)
+            .saturating_sub(pool.warm.mean(FIRST_PACE));
+        wait < gain && now + wait <= waiting.start_by
+    }
+
+    fn known_pool(&self, ask: &Ask) -> Option<&Pool> {
+        let same = |p: &&Pool| p.service == ask.service && p.domain == ask.domain;
+        self.pools.iter().find(same)
     }
 
     fn grant(&mut self, now: Time, at: usize, ask: &Ask) -> Effect {
@@ -240,10 +285,15 @@
         &mut self.pools[at]
     }
 
-    /// The time that a request is expected to run.
+    /// The time that a request is expected to run: with an object, on a target
+    /// that knows it, so that an unknown one is not put off for ever.
     fn pace(&mut self, ask: &Ask) -> Duration {
         let pool = self.pool(&ask.service, &ask.domain);
-        pool.all.mean(FIRST_PACE)
+        let all = pool.all.mean(FIRST_PACE);
+        match ask.object {
+            Some(_) => pool.warm.mean(all),
+            None => all,
+        }
     }
 
     fn wait_or_refuse(
@@ -283,10 +333,10 @@
         order.sort_by_key(|i| self.queue.0[*i].turn(now));
         let mut served = Vec::new();
         for i in order {
-            let ask = self.queue.0[i].ask.clone();
-            if let Some(at) = self.choose(now, &ask) {
-                effects.push(self.grant(now, at, &ask));
-                served.push(ask.id);
+            let waiting = self.queue.0[i].clone();
+            if let Some(at) = self.choose(now, &waiting) {
+                effects.push(self.grant(now, at, &waiting.ask));
+                served.push(waiting.ask.id);
             }
         }
         self.queue.0.retain(|w| !served.contains(&w.ask.id));
--- a/crates/pimento_broker/src/target.rs
+++ b/crates/pimento_broker/src/target.rs
@@ -94,15 +94,20 @@
         let spare = f64::from(self.limit - self.running.min(self.limit));
         let spare = spare / f64::from(self.view.slots.max(1));
         Fitness {
-            trusted: self.failures == 0 && self.doubt < DOUBTED,
-            quick: self.ratio.secs().is_none_or(|ratio| ratio < SLOW),
+            sound: self.sound(),
             warm: object.is_some_and(|object| self.is_warm(object)),
             started: now >= self.view.cold_until,
-            spare: (spare * 1_000.0) as u32,
             lot: object.map_or(0, |object| hash::mix(object ^ self.view.seed)),
+            spare: (spare * 1_000.0) as u32,
         }
     }
 
+    /// Whether it neither fails more than its like nor is slower.
+    pub(crate) fn sound(&self) -> bool {
+        let quick = self.ratio.secs().is_none_or(|ratio| ratio < SLOW);
+        self.failures == 0 && self.doubt < DOUBTED && quick
+    }
+
     /// Gives a place to a request.
     pub(crate) fn begin(&mut self, now: Time, object: Option<u64>) {
         self.running += 1;
@@ -174,12 +179,12 @@
 /// How well a target suits a request: what matters more comes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct Fitness {
-    trusted: bool,
-    quick: bool,
-    warm: bool,
+    sound: bool,
+    pub warm: bool,
     started: bool,
-    spare: u32,
+    /// The same on all VMs, so that an object meets the same targets again.
     lot: u64,
+    spare: u32,
 }
 
 /// The name of a target as candidates are told apart.
