Keep objects out of failure domains that don't know them at the peak

Cause: requests turned away where their object is known ran three times as long in the next domain and pushed out what that one knew; all domains ended cold. Requests also waited past the time at which they could start. Change: such a request is taken only up to half of the places; one that can't start in time is refused then, not at its deadline; the wait is estimated from all runs.

--- a/crates/pimento_broker/src/ask.rs
+++ b/crates/pimento_broker/src/ask.rs
@@ -23,6 +23,8 @@
     pub domain: Arc<str>,
     /// What the request is about, where a target that has seen it is faster.
     pub object: Option<u64>,
+    /// Whether other requests about the same come to this failure domain first.
+    pub home: bool,
     /// The rank; 0 is the most urgent.
     pub priority: u32,
     /// When the answer should be there to be worth most.
--- a/crates/pimento_broker/src/broker.rs
+++ b/crates/pimento_broker/src/broker.rs
@@ -13,6 +13,14 @@
 /// be late.
 const OVERTIME: Duration = Duration::from_millis(500);
 
+/// How much longer a run on a target that doesn't know its object must take so
+/// that it makes a difference.
+const SLOWER: f64 = 1.3;
+
+/// The part of the places up to which a failure domain takes requests whose
+/// objects belong to another one.
+const ROOM: f64 = 0.5;
+
 /// The run time that is assumed before any was seen.
 const FIRST_PACE: Duration = Duration::from_millis(300);
 
@@ -104,8 +112,15 @@
             return Vec::new();
         }
         let pace = self.pace(&ask);
+        if !ask.home && !self.has_room(&ask) {
+            return vec![Effect::Refuse {
+                id: ask.id,
+                wait: Wait::For(pace),
+            }];
+        }
         let waiting = Waiting {
             start_by: ask.objective - pace,
+            latest: ask.deadline,
             ask,
         };
         let ahead = self.queue.ahead(now, &waiting);
@@ -114,7 +129,7 @@
         {
             return vec![self.grant(now, at, &waiting.ask)];
         }
-        self.wait_or_refuse(now, waiting, ahead, pace)
+        self.wait_or_refuse(now, waiting, ahead)
     }
 
     /// Takes back a place, or a request that waits.
@@ -195,6 +210,32 @@
         (warm || !self.worth_waiting(now, waiting)).then_some(at)
     }
 
+    /// Whether a request whose object belongs to another failure domain may run
+    /// here.
+    ///
+    /// The load that it answers: a peak at which requests are turned away
+    /// where their objects are known. Each of them would run several times as
+    /// long here, and push out what the targets here know.
+    fn has_room(&self, ask: &Ask) -> bool {
+        let Some(object) = ask.object else {
+            return true;
+        };
+        let slow = self.known_pool(ask).is_none_or(|pool| {
+            let (warm, fresh) = (pool.warm.mean(FIRST_PACE), pool.fresh.mean(FIRST_PACE));
+            fresh > warm.mul_f64(SLOWER)
+        });
+        let known = self.candidates(ask).any(|(_, t)| t.is_warm(object));
+        if known || !slow {
+            return true;
+        }
+        let (mut running, mut slots) = (0, 0);
+        for (_, target) in self.candidates(ask) {
+            running += target.running;
+            slots += target.view.slots;
+        }
+        f64::from(running) < f64::from(slots) * ROOM && self.queue.0.is_empty()
+    }
+
     /// Whether a busy target that knows a request's object is free in time.
     fn worth_waiting(&self, now: Time, waiting: &Waiting) -> bool {
         let Some(object) = waiting.ask.object else {
@@ -296,13 +337,7 @@
         }
     }
 
-    fn wait_or_refuse(
-        &mut self,
-        now: Time,
-        waiting: Waiting,
-        ahead: usize,
-        pace: Duration,
-    ) -> Vec<Effect> {
+    fn wait_or_refuse(&mut self, now: Time, waiting: Waiting, ahead: usize) -> Vec<Effect> {
         let usable = self
             .candidates(&waiting.ask)
             .filter(|(_, t)| !t.broken(now));
@@ -312,6 +347,8 @@
             let wait = Wait::Unknown;
             return vec![Effect::Refuse { id, wait }];
         }
+        let pool = self.known_pool(&waiting.ask);
+        let pace = pool.map_or(FIRST_PACE, |pool| pool.all.mean(FIRST_PACE));
         let wait = pace.mul_f64((ahead as f64 + 1.0) / f64::from(slots));
         let latest = if now <= waiting.start_by {
             waiting.start_by
@@ -322,7 +359,7 @@
             let wait = Wait::For(wait);
             return vec![Effect::Refuse { id, wait }];
         }
-        self.queue.0.push(waiting);
+        self.queue.0.push(Waiting { latest, ..waiting });
         Vec::new()
     }
 
@@ -343,16 +380,14 @@
         effects
     }
 
-    /// Refuses requests that would be answered too late.
+    /// Refuses requests that can't start in time any more, so that their
+    /// callers learn it while they can still come back.
     fn expire(&mut self, now: Time) -> Vec<Effect> {
-        let overdue = |w: &mut Waiting| {
-            let run = w.ask.objective.since(w.start_by);
-            now + run / 2 > w.ask.deadline
-        };
+        let overdue = |w: &mut Waiting| now > w.latest;
         let expired = self.queue.0.extract_if(.., overdue);
         let refused = expired.map(|w| Effect::Refuse {
             id: w.ask.id,
-            wait: Wait::Unknown,
+            wait: Wait::For(w.ask.patience),
         });
         refused.collect()
     }
--- a/crates/pimento_broker/src/queue.rs
+++ b/crates/pimento_broker/src/queue.rs
@@ -9,6 +9,8 @@
     pub ask: Ask,
     /// The last moment at which it can start and be answered in time.
     pub start_by: Time,
+    /// When it is refused if it has not started.
+    pub latest: Time,
 }
 
 /// Requests that wait, in the order in which they arrived.
--- a/crates/pimento_fleet/src/actor.rs
+++ b/crates/pimento_fleet/src/actor.rs
@@ -209,6 +209,8 @@
     pub domain: Arc<str>,
     /// What the request is about.
     pub object: Option<u64>,
+    /// Whether other requests about the same come to this failure domain first.
+    pub home: bool,
     /// The rank; 0 is the most urgent.
     pub priority: u32,
     /// The time left until the objective, in milliseconds.
@@ -245,6 +247,7 @@
             service: self.service.to_string(),
             domain: self.domain.to_string(),
             object: self.object,
+            home: self.home,
             priority: self.priority,
             objective_ms: self.objective_ms,
             deadline_ms: self.deadline.as_millis() as u64,
--- a/crates/pimento_fleet/src/granting.rs
+++ b/crates/pimento_fleet/src/granting.rs
@@ -257,6 +257,7 @@
         service: Arc::from(ask.service.as_str()),
         domain: Arc::from(ask.domain.as_str()),
         object: ask.object,
+        home: ask.home,
         priority: ask.priority,
         objective,
         deadline: now + Duration::from_millis(ask.deadline_ms),
--- a/crates/pimento_fleet/src/message.rs
+++ b/crates/pimento_fleet/src/message.rs
@@ -200,6 +200,9 @@
     pub patience_ms: u64,
     #[prost(string, repeated, tag = "10")]
     pub tried: Vec<String>,
+    /// Whether the failure domain is the first one for the object.
+    #[prost(bool, tag = "11")]
+    pub home: bool,
 }
 
 /// What became of an ask.
--- a/crates/pimento_gateway/src/placing.rs
+++ b/crates/pimento_gateway/src/placing.rs
@@ -67,11 +67,12 @@
     need: &Need<'_>,
 ) -> Result<(Arc<str>, Permit), NoPlace> {
     let mut refusal = NoPlace::Unusable;
-    for place in need.places.iter().take(DOMAINS) {
-        let mut verdict = ask(inner, need, place).await;
+    for (i, place) in need.places.iter().take(DOMAINS).enumerate() {
+        let home = i == 0;
+        let mut verdict = ask(inner, need, place, home).await;
         if matches!(verdict, Err(Refused::Unreachable)) {
             // Another VM grants in its stead.
-            verdict = ask(inner, need, place).await;
+            verdict = ask(inner, need, place, home).await;
         }
         match verdict {
             Ok(granted) => return Ok(granted),
@@ -96,6 +97,7 @@
     inner: &Rc<Inner>,
     need: &Need<'_>,
     place: &Place,
+    home: bool,
 ) -> Result<(Arc<str>, Permit), Refused> {
     let serial = inner.next_serial();
     let permit = Permit {
@@ -109,6 +111,7 @@
         service: Arc::clone(need.service),
         domain: Arc::clone(&place.domain),
         object: need.object,
+        home,
         priority: need.priority,
         objective_ms: signed_ms(need.objective, now),
         deadline: need.deadline.saturating_duration_since(now),
