Plan regions to fill four fifths of their places with their own requests

Cause: a region with less than its part of the places sent the rest away even while its own places were free.

--- a/crates/pimento_broker/src/order.rs
+++ b/crates/pimento_broker/src/order.rs
@@ -29,7 +29,7 @@
         .filter(|p| *p.region == *region)
         .map(|p| p.slots)
         .sum();
-    let fair = f64::from(total) / regions.max(1) as f64;
+    let fair = f64::from(total) * FILL / regions.max(1) as f64;
     let kept = f64::from(own) / fair.max(1.0);
     let stays = hash::unit(object, STAY) < kept;
     let surplus = |p: &Place| {
@@ -55,6 +55,11 @@
     ranked.into_iter().map(|(.., p)| p.clone()).collect()
 }
 
+/// The part of its places that a region is planned to use when all places
+/// together are used up: below one, it keeps more of its own requests, whose
+/// answers then pass no link between regions.
+const FILL: f64 = 0.8;
+
 /// The weight of a region without more than its part, which comes last.
 const LEFTOVER: f64 = 0.01;
 
