Elect sooner after a restart of all, and ask sooner while starting

Cause: after a loss of all power the group elected after 1 to 2 s, and entry VMs asked for what they lack each 500 ms. Change: a replica that starts begins its first election within one timeout; open groups use 600 ms; a process that can't serve yet asks each 100 ms.

--- a/crates/pimento_consensus/src/raft.rs
+++ b/crates/pimento_consensus/src/raft.rs
@@ -107,7 +107,7 @@
             let (index, data) = (snapshot.index, snapshot.data.clone());
             raft.effects.push(Effect::Restore { index, data });
         }
-        raft.rearm(now);
+        raft.rearm_first(now);
         raft.maybe_found(now);
         let effects = raft.finish(now);
         (raft, effects)
@@ -362,6 +362,14 @@
         self.deadline = now + self.config.election + Duration::from_micros(extra);
     }
 
+    /// A short silence after the start, since all replicas may have stopped; a
+    /// leader that lives is not disturbed by a pre-vote.
+    fn rearm_first(&mut self, now: Time) {
+        let span = self.config.election.as_micros() as u64;
+        let wait = self.rng.random_range(span / 4..span.max(2));
+        self.deadline = now + Duration::from_micros(wait);
+    }
+
     /// Ends an operation: sends what is new, then writes, in one go each.
     fn finish(&mut self, now: Time) -> Vec<Effect> {
         if self.role == Role::Leader {
--- a/crates/pimento_control/src/actor.rs
+++ b/crates/pimento_control/src/actor.rs
@@ -32,6 +32,13 @@
 /// to remove.
 const JOIN: Duration = Duration::from_millis(500);
 
+/// The shortest silence of a leader before an election in an open group, whose
+/// users wait for the restart of the whole system: several round trips between
+/// regions.
+const ELECTION: Duration = Duration::from_millis(600);
+/// The interval of a leader's messages in an open group.
+const HEARTBEAT: Duration = Duration::from_millis(120);
+
 /// What a control VM needs to start.
 #[derive(Clone, Debug)]
 pub struct ControlConfig {
@@ -372,6 +379,8 @@
             let first = if found { founders() } else { Vec::new() };
             Config {
                 voters,
+                election: ELECTION,
+                heartbeat: HEARTBEAT,
                 ..Config::new(vm, instance, first)
             }
         }
--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -17,6 +17,8 @@
 
 /// How often a process shows that it lives.
 const BEAT: Duration = Duration::from_millis(500);
+/// How often a process asks that does not know enough to serve.
+const FIRST_BEATS: Duration = Duration::from_millis(100);
 /// How long a process that did not answer is left out.
 const SUSPICION: Duration = Duration::from_secs(2);
 /// How long a process that asked what it lacks is told of changes at once.
@@ -83,7 +85,8 @@
     pub fn tick(&mut self, now: Time) -> Vec<Effect> {
         let mut effects = Vec::new();
         if now >= self.next_beat {
-            self.next_beat = now + BEAT;
+            let starting = self.config.me.stage == Stage::Starting as i32;
+            self.next_beat = now + if starting { FIRST_BEATS } else { BEAT };
             self.members.forget(now);
             self.registry.forget(now);
             effects.extend(self.beats(now));
--- a/crates/pimento_log/src/event.rs
+++ b/crates/pimento_log/src/event.rs
@@ -78,6 +78,8 @@
     AttemptFailed = 504, Info, "attempt failed";
     /// A target's report changed what is known of it.
     TargetReported = 505, Info, "target report";
+    /// A caller could not be told where to go.
+    LookupFailed = 506, Warning, "look-up failed";
     /// This control VM became leader.
     LeaderElected = 601, Info, "elected leader";
     /// This control VM is no longer leader.
