--- /dev/null
+++ b/crates/pimento_broker/tests/peak.rs
@@ -0,0 +1,87 @@
+//! Loads at which more is asked for than all places give.
+
+mod support;
+
+use std::time::Duration;
+use support::{Load, replay};
+
+/// The morning peak: enough places if targets run what they know, and too few
+/// if requests run wherever a place is free. Domains have unequal numbers of
+/// targets and callers come to all of them alike.
+fn morning(seed: u64) -> Load {
+    Load {
+        targets: vec![2, 6, 6],
+        slots: 6,
+        rate: 300.0,
+        objects: 39,
+        memory: 37,
+        fresh: Duration::from_millis(640),
+        warm: Duration::from_millis(192),
+        objective: Duration::from_millis(400),
+        deadline: Duration::from_millis(1_000),
+        span: Duration::from_secs(30),
+        seed,
+    }
+}
+
+/// Twice what all places give, however they are used.
+fn overload(seed: u64) -> Load {
+    Load {
+        rate: 900.0,
+        ..morning(seed)
+    }
+}
+
+#[test]
+fn known_objects() {
+    for seed in 0..5 {
+        let result = replay(morning(seed));
+        let in_time = f64::from(result.in_time) / f64::from(result.asked);
+        assert!(in_time > 0.9, "seed {seed}: {in_time}, {result:?}");
+    }
+}
+
+#[test]
+fn goodput_holds() {
+    for seed in 0..5 {
+        let result = replay(overload(seed));
+        // All places are used for runs that end in time.
+        let places = 14.0 * 6.0 / 0.192 * 15.0;
+        let used = f64::from(result.in_time) / places;
+        assert!(used > 0.7, "seed {seed}: {used}, {result:?}");
+    }
+}
+
+#[test]
+fn refused_early() {
+    for seed in 0..5 {
+        let result = replay(overload(seed));
+        assert!(result.refused > 0);
+        // What can't be served is told while its caller can still come back.
+        assert!(
+            result.held <= Duration::from_millis(400),
+            "seed {seed}: {result:?}"
+        );
+    }
+}
+
+#[test]
+fn urgent_first() {
+    for seed in 0..5 {
+        let result = replay(overload(seed));
+        let shares: Vec<f64> = result
+            .ranks
+            .iter()
+            .map(|(served, asked)| f64::from(*served) / f64::from(*asked))
+            .collect();
+        let ordered = shares.windows(2).all(|pair| pair[0] > pair[1] - 0.05);
+        assert!(ordered, "seed {seed}: {shares:?}");
+    }
+}
+
+#[test]
+fn never_above_slots() {
+    for seed in 0..5 {
+        assert!(replay(overload(seed)).most <= 6);
+    }
+}
--- /dev/null
+++ b/crates/pimento_broker/tests/places.rs
@@ -0,0 +1,182 @@
+//! Single decisions of a broker.
+
+mod support;
+
+use pimento_broker::{AskId, Broker, Effect, Ending, Report, TargetView, Wait};
+use pimento_core::Time;
+use std::time::Duration;
+use support::{ask, report, view};
+
+const START: Time = Time::from_millis(10_000);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn broker(views: Vec<TargetView>) -> Broker {
+    let mut broker = Broker::default();
+    broker.set_targets(START, views);
+    broker
+}
+
+fn granted(effects: &[Effect]) -> Option<String> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Grant { target, .. } => Some(target.to_string()),
+        Effect::Refuse { .. } => None,
+    })
+}
+
+fn id(serial: u64) -> AskId {
+    AskId { process: 1, serial }
+}
+
+#[test]
+fn asked_again() {
+    let mut broker = broker(vec![view("a", "d0", 1)]);
+    let first = broker.submit(START, ask(1, START, SECOND));
+    // The verdict was lost on its way.
+    let again = broker.submit(START, ask(1, START, SECOND));
+    assert_eq!(first, again);
+    assert_eq!(broker.running("a"), 1);
+}
+
+#[test]
+fn returned_twice() {
+    let mut broker = broker(vec![view("a", "d0", 2)]);
+    for serial in 1..=2 {
+        broker.submit(START, ask(serial, START, SECOND));
+    }
+    let done = report(Ending::Answered, Duration::from_millis(100));
+    broker.finish(START, &id(1), &done);
+    broker.finish(START, &id(1), &done);
+    assert_eq!(broker.running("a"), 1);
+}
+
+#[test]
+fn lost_return() {
+    let mut broker = broker(vec![view("a", "d0", 1)]);
+    broker.submit(START, ask(1, START, SECOND));
+    broker.tick(START + Duration::from_secs(4));
+    assert_eq!(broker.running("a"), 1, "the request may still run");
+    broker.tick(START + Duration::from_secs(5));
+    assert_eq!(broker.running("a"), 0);
+}
+
+#[test]
+fn no_targets() {
+    let mut broker = broker(Vec::new());
+    let effects = broker.submit(START, ask(1, START, SECOND));
+    let wait = Wait::Unknown;
+    assert_eq!(effects, [Effect::Refuse { id: id(1), wait }]);
+}
+
+#[test]
+fn closed_target() {
+    let mut views = vec![view("a", "d0", 1)];
+    let mut broker = broker(views.clone());
+    views[0].open = false;
+    broker.set_targets(START, views);
+    assert!(granted(&broker.submit(START, ask(1, START, SECOND))).is_none());
+}
+
+#[test]
+fn waits_its_turn() {
+    let mut broker = broker(vec![view("a", "d0", 1)]);
+    broker.submit(START, ask(1, START, SECOND));
+    let mut late = ask(2, START, SECOND);
+    late.priority = 2;
+    assert!(broker.submit(START, late).is_empty());
+    let mut urgent = ask(3, START, SECOND);
+    urgent.priority = 0;
+    assert!(broker.submit(START, urgent).is_empty());
+    let done = report(Ending::Answered, Duration::from_millis(100));
+    let effects = broker.finish(START, &id(1), &done);
+    assert!(matches!(effects.as_slice(), [Effect::Grant { id, .. }] if id.serial == 3));
+}
+
+#[test]
+fn caller_left() {
+    let mut broker = broker(vec![view("a", "d0", 1)]);
+    broker.submit(START, ask(1, START, SECOND));
+    broker.submit(START, ask(2, START, SECOND));
+    let left = report(Ending::Cancelled, Duration::ZERO);
+    broker.finish(START, &id(2), &left);
+    assert_eq!(broker.waiting(), 0);
+}
+
+#[test]
+fn cold_rate() {
+    let mut cold = view("a", "d0", 50);
+    cold.cold_until = START + Duration::from_secs(10);
+    let mut broker = broker(vec![cold]);
+    let mut sent = 0;
+    for serial in 0..200 {
+        let now = START + Duration::from_millis(serial * 10);
+        let effects = broker.submit(now, ask(serial, now, Duration::from_millis(5)));
+        sent += u32::from(granted(&effects).is_some());
+    }
+    // Two seconds at 5 a second; two brokers may send while VMs disagree.
+    assert!((6..=10).contains(&sent), "{sent}");
+}
+
+#[test]
+fn broken_target() {
+    let mut broker = broker(vec![view("a", "d0", 4), view("b", "d0", 4)]);
+    let mut now = START;
+    for serial in 0..20 {
+        now += Duration::from_millis(20);
+        let target = granted(&broker.submit(now, ask(serial, now, SECOND))).unwrap();
+        let ending = if target == "a" {
+            Ending::Broken
+        } else {
+            Ending::Answered
+        };
+        broker.finish(now, &id(serial), &report(ending, Duration::from_millis(10)));
+    }
+    let target = granted(&broker.submit(now, ask(99, now, SECOND)));
+    assert_eq!(target.as_deref(), Some("b"));
+}
+
+#[test]
+fn grey_target() {
+    let mut broker = broker(vec![view("a", "d0", 4), view("b", "d0", 4)]);
+    let mut now = START;
+    let mut to_grey = 0;
+    for serial in 0..100 {
+        now += Duration::from_millis(200);
+        let target = granted(&broker.submit(now, ask(serial, now, SECOND))).unwrap();
+        let ending = if target == "a" {
+            Ending::Failed
+        } else {
+            Ending::Answered
+        };
+        to_grey += u32::from(target == "a");
+        broker.finish(now, &id(serial), &report(ending, Duration::from_millis(10)));
+    }
+    assert!(to_grey < 20, "{to_grey}");
+}
+
+#[test]
+fn full_target() {
+    let mut broker = broker(vec![view("a", "d0", 4)]);
+    broker.submit(START, ask(1, START, SECOND));
+    let shed = Report {
+        load: Some((4, 2)),
+        ..report(Ending::Shed, Duration::from_millis(5))
+    };
+    broker.finish(START, &id(1), &shed);
+    let later = START + SECOND;
+    let granted: Vec<_> = (2..8)
+        .filter_map(|serial| granted(&broker.submit(later, ask(serial, later, SECOND))))
+        .collect();
+    assert_eq!(
+        granted.len(),
+        2,
+        "others send to it too, so half is offered"
+    );
+}
+
+#[test]
+fn tried_before() {
+    let mut broker = broker(vec![view("a", "d0", 4)]);
+    let mut again = ask(1, START, SECOND);
+    again.tried.push("a".into());
+    assert!(granted(&broker.submit(START, again)).is_none());
+}
--- /dev/null
+++ b/crates/pimento_broker/tests/shares.rs
@@ -0,0 +1,37 @@
+//! Repeats of all VMs together stay within what is allowed.
+
+use pimento_broker::Budget;
+use pimento_core::Time;
+use std::time::Duration;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// A storm: each request of 20 VMs would be repeated.
+#[test]
+fn storm() {
+    const VMS: u64 = 20;
+    let mut sent = vec![0_u32; 40];
+    for vm in 0..VMS {
+        let mut budget = Budget::new(Time::ZERO, 120.0, WINDOW, VMS as usize);
+        for ms in (vm..40_000).step_by(60) {
+            let now = Time::from_millis(ms);
+            budget.request(now, 0.2);
+            sent[ms as usize / 1_000] += u32::from(budget.spend(now));
+        }
+    }
+    let requests = 1_000.0 / 60.0 * VMS as f64 * 10.0;
+    let allowed = 0.2 * requests + 120.0;
+    for window in sent.windows(10) {
+        let sum: u32 = window.iter().sum();
+        assert!(f64::from(sum) <= allowed, "{sum} of {allowed}");
+    }
+}
+
+#[test]
+fn lone_failure() {
+    let mut budget = Budget::new(Time::ZERO, 120.0, WINDOW, 20);
+    assert!(
+        budget.spend(Time::ZERO),
+        "a single repeat is always allowed"
+    );
+}
--- /dev/null
+++ b/crates/pimento_broker/tests/support/mod.rs
@@ -0,0 +1,312 @@
+//! A load replayed in virtual time: targets that remember objects, brokers of
+//! some failure domains, and callers that come at a steady rate.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use pimento_broker::{Ask, AskId, Broker, Effect, Ending, Place, Report, TargetView, order};
+use pimento_core::{Time, hash};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::{collections::BinaryHeap, sync::Arc, time::Duration};
+
+pub const SERVICE: &str = "service";
+
+/// A load.
+pub struct Load {
+    /// The targets of each failure domain; each domain is a region.
+    pub targets: Vec<usize>,
+    pub slots: u32,
+    /// Requests a second, from all domains alike.
+    pub rate: f64,
+    /// The objects of each domain's callers.
+    pub objects: u64,
+    /// The objects that a target remembers.
+    pub memory: usize,
+    pub fresh: Duration,
+    pub warm: Duration,
+    pub objective: Duration,
+    pub deadline: Duration,
+    pub span: Duration,
+    pub seed: u64,
+}
+
+/// What became of the requests that came in the second half.
+#[derive(Debug, Default)]
+pub struct Result {
+    pub asked: u32,
+    pub in_time: u32,
+    pub late: u32,
+    pub refused: u32,
+    /// The longest wait that ended in a refusal.
+    pub held: Duration,
+    /// The most requests at one target at a time.
+    pub most: u32,
+    /// Served and asked by rank.
+    pub ranks: Vec<(u32, u32)>,
+}
+
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrive(u64),
+    End { request: u64, domain: usize },
+    Tick,
+}
+
+struct Request {
+    came: Time,
+    object: u64,
+    rank: u32,
+    places: Vec<Place>,
+    tried: usize,
+    begun: Time,
+    target: Option<Arc<str>>,
+}
+
+struct World {
+    load: Load,
+    now: Time,
+    events: BinaryHeap<std::cmp::Reverse<(Time, u64, Event)>>,
+    serial: u64,
+    brokers: Vec<Broker>,
+    requests: Vec<Request>,
+    /// What each target remembers and runs, by name.
+    targets: Vec<(Arc<str>, Vec<u64>, u32)>,
+    rng: SmallRng,
+    result: Result,
+}
+
+pub fn view(id: &str, domain: &str, slots: u32) -> TargetView {
+    TargetView {
+        id: Arc::from(id),
+        seed: hash::fnv([id.as_bytes()]),
+        service: Arc::from(SERVICE),
+        domain: Arc::from(domain),
+        slots,
+        open: true,
+        cold_until: Time::ZERO,
+        cold_rate: 5.0,
+    }
+}
+
+pub fn ask(serial: u64, now: Time, objective: Duration) -> Ask {
+    Ask {
+        id: AskId { process: 1, serial },
+        service: Arc::from(SERVICE),
+        domain: Arc::from("d0"),
+        object: None,
+        home: true,
+        priority: 1,
+        objective: now + objective,
+        deadline: now + objective * 4,
+        patience: objective / 10,
+        tried: Vec::new(),
+    }
+}
+
+pub fn report(ending: Ending, took: Duration) -> Report {
+    Report {
+        ending,
+        took,
+        load: None,
+        cold: None,
+    }
+}
+
+/// Replays a load.
+pub fn replay(load: Load) -> Result {
+    let mut world = World::new(load);
+    world.run();
+    world.result
+}
+
+impl World {
+    fn new(load: Load) -> Self {
+        let mut views = Vec::new();
+        let mut targets = Vec::new();
+        for (d, count) in load.targets.iter().enumerate() {
+            for t in 0..*count {
+                let id = format!("t{d}-{t}");
+                views.push(view(&id, &format!("d{d}"), load.slots));
+                targets.push((Arc::from(id), Vec::new(), 0));
+            }
+        }
+        let mut brokers = vec![Broker::default(); load.targets.len()];
+        for broker in &mut brokers {
+            broker.set_targets(Time::ZERO, views.clone());
+        }
+        Self {
+            rng: SmallRng::seed_from_u64(load.seed),
+            load,
+            now: Time::ZERO,
+            events: BinaryHeap::new(),
+            serial: 0,
+            brokers,
+            requests: Vec::new(),
+            targets,
+            result: Result {
+                ranks: vec![(0, 0); 3],
+                ..Result::default()
+            },
+        }
+    }
+
+    fn after(&mut self, span: Duration, event: Event) {
+        self.serial += 1;
+        let entry = (self.now + span, self.serial, event);
+        self.events.push(std::cmp::Reverse(entry));
+    }
+
+    fn run(&mut self) {
+        self.after(Duration::ZERO, Event::Arrive(0));
+        self.after(Duration::ZERO, Event::Tick);
+        while let Some(std::cmp::Reverse((at, _, event))) = self.events.pop() {
+            if at.since(Time::ZERO) > self.load.span {
+                return;
+            }
+            self.now = at;
+            match event {
+                Event::Arrive(request) => self.arrive(request),
+                Event::End { request, domain } => self.end(request, domain),
+                Event::Tick => self.tick(),
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        for domain in 0..self.brokers.len() {
+            let effects = self.brokers[domain].tick(self.now);
+            self.apply(domain, effects);
+        }
+        self.after(Duration::from_millis(50), Event::Tick);
+    }
+
+    fn arrive(&mut self, number: u64) {
+        let domain = self.rng.random_range(0..self.load.targets.len());
+        let object = self.rng.random_range(0..self.load.objects);
+        let object = hash::mix((domain as u64) << 32 | object);
+        let counts = self.load.targets.iter().enumerate();
+        let places: Vec<_> = counts
+            .map(|(d, count)| place(d, *count, self.load.slots))
+            .collect();
+        let region = format!("d{domain}");
+        let rank = self.rng.random_range(0..3);
+        self.requests.push(Request {
+            came: self.now,
+            object,
+            rank,
+            places: order(&places, &region, places.len(), object),
+            tried: 0,
+            begun: self.now,
+            target: None,
+        });
+        if self.counts(number) {
+            self.result.asked += 1;
+            self.result.ranks[rank as usize].1 += 1;
+        }
+        self.submit(number);
+        let gap = -self.rng.random::<f64>().ln() / self.load.rate;
+        self.after(Duration::from_secs_f64(gap), Event::Arrive(number + 1));
+    }
+
+    fn counts(&self, number: u64) -> bool {
+        self.requests[number as usize].came.since(Time::ZERO) > self.load.span / 2
+    }
+
+    fn submit(&mut self, number: u64) {
+        let request = &self.requests[number as usize];
+        let Some(place) = request.places.get(request.tried).cloned() else {
+            if self.counts(number) {
+                self.result.refused += 1;
+                let held = self.now.since(self.requests[number as usize].came);
+                self.result.held = self.result.held.max(held);
+            }
+            return;
+        };
+        let ask = Ask {
+            domain: Arc::clone(&place.domain),
+            object: Some(request.object),
+            home: request.tried == 0,
+            priority: request.rank,
+            objective: request.came + self.load.objective,
+            deadline: request.came + self.load.deadline,
+            ..ask(number, request.came, self.load.objective)
+        };
+        let domain: usize = place.domain[1..].parse().unwrap();
+        let effects = self.brokers[domain].submit(self.now, ask);
+        self.apply(domain, effects);
+    }
+
+    fn apply(&mut self, domain: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Grant { id, target } => self.begin(domain, id.serial, target),
+                Effect::Refuse { id, .. } => {
+                    self.requests[id.serial as usize].tried += 1;
+                    self.submit(id.serial);
+                }
+            }
+        }
+    }
+
+    fn begin(&mut self, domain: usize, number: u64, target: Arc<str>) {
+        let request = &mut self.requests[number as usize];
+        request.begun = self.now;
+        request.target = Some(Arc::clone(&target));
+        let object = request.object;
+        let found = self.targets.iter_mut().find(|(id, ..)| *id == target);
+        let (_, memory, running) = found.unwrap();
+        *running += 1;
+        self.result.most = self.result.most.max(*running);
+        let warm = memory.contains(&object);
+        memory.retain(|other| *other != object);
+        memory.push(object);
+        if memory.len() > self.load.memory {
+            memory.remove(0);
+        }
+        let run = if warm {
+            self.load.warm
+        } else {
+            self.load.fresh
+        };
+        let run = run.mul_f64(self.rng.random_range(0.8..1.2));
+        self.after(
+            run,
+            Event::End {
+                request: number,
+                domain,
+            },
+        );
+    }
+
+    fn end(&mut self, number: u64, domain: usize) {
+        let request = &self.requests[number as usize];
+        let target = request.target.clone().unwrap();
+        let took = self.now.since(request.begun);
+        let in_time = self.now.since(request.came) <= self.load.objective;
+        let rank = request.rank as usize;
+        let found = self.targets.iter_mut().find(|(id, ..)| *id == target);
+        found.unwrap().2 -= 1;
+        if self.counts(number) {
+            self.result.ranks[rank].0 += 1;
+            if in_time {
+                self.result.in_time += 1;
+            } else {
+                self.result.late += 1;
+            }
+        }
+        let id = AskId {
+            process: 1,
+            serial: number,
+        };
+        let report = report(Ending::Answered, took);
+        let effects = self.brokers[domain].finish(self.now, &id, &report);
+        self.apply(domain, effects);
+    }
+}
+
+pub fn place(domain: usize, targets: usize, slots: u32) -> Place {
+    Place {
+        domain: Arc::from(format!("d{domain}")),
+        region: Arc::from(format!("d{domain}")),
+        slots: targets as u32 * slots,
+    }
+}
--- /dev/null
+++ b/crates/pimento_items/tests/support/mod.rs
@@ -0,0 +1,56 @@
+//! Items for tests.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use pimento_items::{Body, Catalog, Change, Item, Limits, Part, Repeat, Route, Service};
+
+pub fn service(name: &str, version: u64) -> Item {
+    let body = Body::Service(Service {
+        health: "/health".into(),
+        connections: 10,
+        cold_ms: 3_000,
+        cold_rate: 5_000,
+    });
+    Item::new(name, version, body)
+}
+
+pub fn route_at(name: &str, version: u64, prefix: &str, service: &str) -> Item {
+    let body = Body::Route(Route {
+        host: "h.example".into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Safe as i32,
+        timeout_ms: 800,
+        objective_ms: 250,
+        priority: 1,
+        parts: vec![Part {
+            service: service.into(),
+            weight: 1_000,
+        }],
+        attempts: 2,
+        sticky: true,
+        homes: Vec::new(),
+    });
+    Item::new(name, version, body)
+}
+
+pub fn route(name: &str, version: u64, service: &str) -> Item {
+    route_at(name, version, "/", service)
+}
+
+pub fn limits(version: u64) -> Item {
+    let body = Body::Limits(Limits {
+        head_bytes: 16_384,
+        body_bytes: 1 << 20,
+        head_ms: 3_000,
+        idle_ms: 15_000,
+    });
+    Item::new("limits", version, body)
+}
+
+/// Two services and a route to the first, accepted at place 1.
+pub fn catalog() -> Catalog {
+    let mut held = Catalog::default();
+    let items = vec![service("a", 1), service("b", 1), route("r", 1, "a")];
+    held.offer(1, &Change { items }).unwrap();
+    held
+}
