--- a/crates/pimento_fleet/src/actor.rs
+++ b/crates/pimento_fleet/src/actor.rs
@@ -1,10 +1,8 @@
 //! The actor that carries datagrams and time to and from the core.
 
 use crate::{
-    Effect, Fleet, FleetConfig, Node, Refused, Shared, Stage, Verdict,
-    effect::Outgoing,
-    message::{AskMessage, Message as Wire},
-    parts,
+    Effect, Fleet, FleetConfig, Node, Refused, Shared, Stage, Verdict, effect::Outgoing,
+    message::AskMessage,
 };
 use actix::prelude::*;
 use bytes::Bytes;
@@ -12,7 +10,6 @@
 use pimento_items::Catalog;
 use pimento_log::{Event, Logger, event};
 use pimento_registry::Target;
-use prost::Message as _;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{net::UdpSocket, sync::oneshot};
 
@@ -110,10 +107,7 @@
 
     fn send(&mut self, to: SocketAddr, message: Outgoing) {
         self.messages += 1;
-        let wire = Wire {
-            body: Some(message.0),
-        };
-        for datagram in parts::divide(self.messages, wire.encode_to_vec().into()) {
+        for datagram in message.datagrams(self.messages) {
             // A datagram that the system can't take now is lost like others.
             if self.socket.try_send_to(&datagram, to).is_err() {
                 return;
@@ -229,8 +223,7 @@
     fn handle(&mut self, msg: Acquire, _: &mut Context<Self>) -> Self::Result {
         let (sender, receiver) = oneshot::channel();
         self.asking.push((msg.serial, sender));
-        let process = self.fleet.config.me.process;
-        let effects = self.fleet.ask(self.now(), msg.into_message(process));
+        let effects = self.fleet.ask(self.now(), &msg);
         self.run(effects);
         Box::pin(async move {
             let unreachable = Verdict::Refuse(Refused::Unreachable);
@@ -240,7 +233,7 @@
 }
 
 impl Acquire {
-    fn into_message(self, process: u64) -> AskMessage {
+    pub(crate) fn message(&self, process: u64) -> AskMessage {
         AskMessage {
             process,
             serial: self.serial,
--- a/crates/pimento_fleet/src/effect.rs
+++ b/crates/pimento_fleet/src/effect.rs
@@ -1,6 +1,11 @@
 //! What the fleet asks of its shell.
 
-use crate::message::Body;
+use crate::{
+    message::{Body, Message},
+    parts,
+};
+use bytes::Bytes;
+use prost::Message as _;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 /// What the shell must do.
@@ -33,6 +38,15 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Outgoing(pub(crate) Body);
 
+impl Outgoing {
+    /// The datagrams of the message; the number tells those of a sender's
+    /// messages apart.
+    pub fn datagrams(self, number: u64) -> Vec<Bytes> {
+        let message = Message { body: Some(self.0) };
+        parts::divide(number, message.encode_to_vec().into())
+    }
+}
+
 /// What became of an ask.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Verdict {
--- a/crates/pimento_fleet/src/granting.rs
+++ b/crates/pimento_fleet/src/granting.rs
@@ -1,7 +1,7 @@
 //! Places: who grants them, and what becomes of asks.
 
 use crate::{
-    Effect, Fleet, Node, Refused, Role, Verdict,
+    Acquire, Effect, Fleet, Node, Refused, Role, Verdict,
     fleet::send,
     message::{AskMessage, Body, Done, DonePlace, VerdictKind, VerdictMessage},
 };
@@ -17,7 +17,8 @@
 
 impl Fleet {
     /// Asks for a place; [`Effect::Decided`] tells what became of it.
-    pub(crate) fn ask(&mut self, now: Time, ask: AskMessage) -> Vec<Effect> {
+    pub fn ask(&mut self, now: Time, acquire: &Acquire) -> Vec<Effect> {
+        let ask = acquire.message(self.config.me.process);
         let Some(to) = self.granter(&ask.domain, &ask.service) else {
             return self.grant(now, &ask);
         };
--- a/crates/pimento_fleet/src/lib.rs
+++ b/crates/pimento_fleet/src/lib.rs
@@ -21,7 +21,7 @@
 pub use actor::{Acquire, Evidence, FleetActor, GetEntries, GetNodes, Release, Report, SetCatalog};
 pub use actor::{SetStage, StartError};
 pub use config::FleetConfig;
-pub use effect::{Effect, Refused, Verdict};
+pub use effect::{Effect, Outgoing, Refused, Verdict};
 pub use fleet::Fleet;
 pub use members::Node;
 pub use message::{NodeInfo, Role, Stage};
--- /dev/null
+++ b/crates/pimento_fleet/tests/granting.rs
@@ -0,0 +1,136 @@
+//! One VM grants the places of a target, and another one when it is lost.
+
+mod world;
+
+use pimento_broker::Ending;
+use pimento_fleet::{Evidence, Refused, Role, Verdict};
+use pimento_registry::Stage;
+use std::time::Duration;
+use world::{World, target, world};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn settled(seed: u64) -> World {
+    let mut world = world(3, 8, seed);
+    world.set_items(1);
+    world.run(3 * SECOND);
+    world.report(0, &target("t", Stage::Ready, 1));
+    world.run(SECOND);
+    world
+}
+
+fn grants(world: &World) -> usize {
+    let verdicts = world.processes.iter().flat_map(|p| &p.verdicts);
+    verdicts
+        .filter(|(_, v)| matches!(v, Verdict::Grant(_)))
+        .count()
+}
+
+const fn answered() -> Evidence {
+    Evidence {
+        ending: Ending::Answered,
+        took: Duration::from_millis(50),
+        load: None,
+        cold: None,
+    }
+}
+
+#[test]
+fn slots_counted_once() {
+    for seed in 0..50 {
+        let mut world = settled(seed);
+        world.loss = 0.05;
+        for i in world.of(Role::Entry) {
+            world.ask(i, i as u64);
+        }
+        world.run(SECOND / 10);
+        assert!(
+            grants(&world) <= 3,
+            "seed {seed}: a target with three slots"
+        );
+        world.run(SECOND);
+        assert_eq!(grants(&world), 3, "seed {seed}");
+    }
+}
+
+#[test]
+fn places_come_back() {
+    for seed in 0..50 {
+        let mut world = settled(seed);
+        world.loss = 0.02;
+        let entries = world.of(Role::Entry);
+        for round in 0..20 {
+            for i in &entries {
+                let serial = round * 100 + *i as u64;
+                world.ask(*i, serial);
+                world.until(SECOND, |w| w.verdict(*i, serial).is_some());
+                if matches!(world.verdict(*i, serial), Some(Verdict::Grant(_))) {
+                    world.done(*i, serial, &answered());
+                }
+            }
+        }
+        assert!(grants(&world) > 100, "seed {seed}: {}", grants(&world));
+    }
+}
+
+#[test]
+fn granter_lost() {
+    for seed in 0..20 {
+        let mut world = settled(seed);
+        let entries = world.of(Role::Entry);
+        // The granter is one of the domain's four; two of them fall silent.
+        world.processes[entries[0]].alive = false;
+        world.processes[entries[2]].alive = false;
+        let asking = entries[1];
+        let mut tries = 0;
+        let served = (0..4).any(|serial| {
+            tries += 1;
+            world.ask(asking, serial);
+            world.until(SECOND, |w| w.verdict(asking, serial).is_some());
+            matches!(world.verdict(asking, serial), Some(Verdict::Grant(_)))
+        });
+        assert!(served, "seed {seed}");
+        assert!(tries <= 3, "seed {seed}: the lost ones are left out");
+    }
+}
+
+#[test]
+fn unreachable_told() {
+    let mut world = settled(1);
+    let entries = world.of(Role::Entry);
+    let asking = entries[1];
+    for i in &entries {
+        world.processes[*i].alive = *i == asking;
+    }
+    world.ask(asking, 1);
+    let before = world.now;
+    world.until(SECOND, |w| w.verdict(asking, 1).is_some());
+    let verdict = world.verdict(asking, 1);
+    let expected = Verdict::Refuse(Refused::Unreachable);
+    assert_eq!(verdict, Some(&expected));
+    assert!(world.now.since(before) < SECOND / 2);
+}
+
+#[test]
+fn caller_gone() {
+    let mut world = settled(1);
+    let entries = world.of(Role::Entry);
+    for i in &entries[..3] {
+        world.ask(*i, 1);
+    }
+    world.run(SECOND / 5);
+    let cancelled = Evidence {
+        ending: Ending::Cancelled,
+        ..answered()
+    };
+    for i in &entries[..3] {
+        world.done(*i, 1, &cancelled);
+    }
+    world.run(SECOND / 5);
+    world.ask(entries[4], 1);
+    world.run(SECOND / 5);
+    assert!(matches!(
+        world.verdict(entries[4], 1),
+        Some(Verdict::Grant(_))
+    ));
+}
