--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -5,7 +5,7 @@
     asks::Asks,
     effect::Outgoing,
     members::{Members, digest},
-    message::{Beat, Body, DonePlace, Items},
+    message::{Alive, Beat, Body, DonePlace, Items, Targets},
     parts::Assembly,
     spread::{Audience, Spread},
 };
@@ -131,10 +131,8 @@
     /// Takes the items that this control VM has applied.
     pub fn set_catalog(&mut self, now: Time, catalog: Arc<Catalog>) -> Vec<Effect> {
         self.catalog = catalog;
-        let follows = |at: Option<Time>| at.is_some_and(|at| now.since(at) < FOLLOWING);
-        let followers = self.members.of(Role::Entry);
-        let followers = followers.filter(|n| follows(n.follows));
-        let mut effects: Vec<_> = followers
+        let mut effects: Vec<_> = self
+            .followers(now)
             .filter_map(|n| self.items_for(n.address, n.revision))
             .collect();
         effects.push(Effect::Changed);
@@ -164,10 +162,13 @@
         let ticket = match self.spread.pending(&held) {
             Some(ticket) => ticket,
             None => {
-                let audience = self.audience(now);
-                self.spread.begin(now, held, audience)
+                let audience = self.audience(now, binding);
+                self.spread.begin(now, held.clone(), audience)
             }
         };
+        if !binding {
+            effects.extend(self.tell_followers(now, vec![held]));
+        }
         let news = self.spread.due(now);
         effects.extend(news.into_iter().map(|(to, body)| send(to, body)));
         effects.extend(self.settle_news());
@@ -327,23 +328,39 @@
         let control = self.config.me.role == Role::Control as i32;
         let primary = self.primary(now);
         let beats = self.controls(now).map(|to| {
-            let full = control || Some(to) == primary;
-            let buckets = if full {
-                self.registry.buckets().to_vec()
-            } else {
-                Vec::new()
-            };
-            let beat = Beat {
-                info: self.config.me.clone(),
+            // Until one is followed, each of them is asked; one of the own
+            // domain is followed again once it is back.
+            let followed = primary.is_none_or(|primary| primary == to);
+            if control || followed || self.is_near(&to) {
+                return self.full_beat(to);
+            }
+            let alive = Alive {
+                process: self.config.me.process,
+                stage: self.config.me.stage,
                 revision: self.catalog.revision(),
-                buckets,
-                roster: self.roster,
             };
-            send(to, Body::Beat(beat))
+            send(to, Body::Alive(alive))
         });
         beats.collect()
     }
 
+    /// Whether a process is known to be in this one's failure domain.
+    fn is_near(&self, address: &SocketAddr) -> bool {
+        let node = self.members.get(address);
+        node.is_some_and(|n| n.info.domain == self.config.me.domain)
+    }
+
+    /// Shows a control VM all that this process has.
+    pub(crate) fn full_beat(&self, to: SocketAddr) -> Effect {
+        let beat = Beat {
+            info: self.config.me.clone(),
+            revision: self.catalog.revision(),
+            buckets: self.registry.buckets().to_vec(),
+            roster: self.roster,
+        };
+        send(to, Body::Beat(beat))
+    }
+
     /// Serves once enough is known.
     pub(crate) fn mature(&mut self) -> Vec<Effect> {
         let starting = self.config.me.stage == Stage::Starting as i32;
@@ -386,10 +403,11 @@
         digest(nodes)
     }
 
-    /// Who must hear news before they count as known: the entry VMs in reach
-    /// and a majority of the control VMs.
-    fn audience(&self, now: Time) -> Audience {
-        let entries = self.alive(now).filter(|n| n.is(Role::Entry));
+    /// Who must hear news before they count as known: a majority of the control
+    /// VMs and, if an acknowledgement binds them, the entry VMs in reach.
+    /// Others learn of it from the control VM that they follow.
+    fn audience(&self, now: Time, binding: bool) -> Audience {
+        let entries = self.alive(now).filter(|n| binding && n.is(Role::Entry));
         let controls: Vec<_> = self.controls(now).collect();
         Audience {
             entries: entries.map(|n| n.address).collect(),
@@ -398,6 +416,25 @@
         }
     }
 
+    /// Tells the entry VMs that follow this control VM; what is lost they get
+    /// when they next compare what they have.
+    pub(crate) fn tell_followers(&self, now: Time, targets: Vec<Target>) -> Vec<Effect> {
+        let targets = Targets {
+            buckets: Vec::new(),
+            targets,
+        };
+        let told = self.followers(now).map(|n| n.address);
+        told.map(|to| send(to, Body::Targets(targets.clone())))
+            .collect()
+    }
+
+    /// The entry VMs that asked this control VM lately what they lack.
+    fn followers(&self, now: Time) -> impl Iterator<Item = &crate::Node> {
+        let follows = move |at: Option<Time>| at.is_some_and(|at| now.since(at) < FOLLOWING);
+        let entries = self.members.of(Role::Entry);
+        entries.filter(move |n| follows(n.follows))
+    }
+
     fn excuse_lost(&mut self, now: Time) {
         let lost = self.config.lost;
         let members = &self.members;
--- a/crates/pimento_fleet/src/members.rs
+++ b/crates/pimento_fleet/src/members.rs
@@ -68,6 +68,17 @@
         }
     }
 
+    /// Notes that a process lives; false if it is unknown or has started anew.
+    pub(crate) fn alive(&mut self, now: Time, address: &SocketAddr, process: u64) -> bool {
+        match self.get_mut(address) {
+            Some(node) if node.info.process == process => {
+                node.heard = now;
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Forgets a process that has ended.
     pub(crate) fn leave(&mut self, address: &SocketAddr, process: u64) -> bool {
         let same = |n: &Node| n.address == *address && n.info.process == process;
--- a/crates/pimento_fleet/src/message.rs
+++ b/crates/pimento_fleet/src/message.rs
@@ -61,7 +61,7 @@
 /// A message.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Message {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub body: Option<Body>,
 }
 
@@ -101,6 +101,24 @@
     /// A process ends now.
     #[prost(fixed64, tag = "11")]
     Bye(u64),
+    /// A process lives, told to control VMs that it doesn't follow.
+    #[prost(message, tag = "12")]
+    Alive(Alive),
+    /// The receiver of an [`Alive`] doesn't know the process.
+    #[prost(bool, tag = "13")]
+    Unknown(bool),
+}
+
+/// A process lives, told to control VMs that it doesn't follow.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(crate) struct Alive {
+    #[prost(fixed64, tag = "1")]
+    pub process: u64,
+    #[prost(enumeration = "Stage", tag = "2")]
+    pub stage: i32,
+    /// The revision of its items.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
 }
 
 /// A process lives, and this is what it has.
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -3,7 +3,7 @@
 use crate::{
     Effect, Fleet, NodeInfo, Role,
     fleet::send,
-    message::{Beat, Body, Items, Message, Pong, Roster, Targets},
+    message::{Alive, Beat, Body, Items, Message, Pong, Roster, Targets},
 };
 use bytes::Bytes;
 use pimento_core::Time;
@@ -22,12 +22,17 @@
         };
         match body {
             Body::Beat(beat) => self.beaten(now, from, &beat),
+            Body::Alive(alive) => self.lives(now, from, &alive),
+            Body::Unknown(_) => vec![self.full_beat(from)],
             Body::Pong(pong) => self.ponged(now, from, &pong),
             Body::Roster(roster) => self.listed(now, from, &roster),
             Body::Items(items) => self.merge_items(now, items),
             Body::Targets(targets) => self.compare(now, from, &targets),
             Body::Announce(news) => {
                 let mut effects = self.take_targets(now, &news.targets);
+                if !effects.is_empty() && self.config.me.role == Role::Control as i32 {
+                    effects.extend(self.tell_followers(now, news.targets));
+                }
                 effects.push(send(from, Body::Heard(news.number)));
                 effects
             }
@@ -73,8 +78,6 @@
             roster,
         };
         effects.push(send(from, Body::Pong(pong)));
-        // Also from a control VM that the sender does not follow: the one that
-        // it follows may lag behind.
         if beat.info.role == Role::Entry as i32 {
             effects.extend(self.items_for(from, beat.revision));
         }
@@ -84,6 +87,23 @@
         effects
     }
 
+    fn lives(&mut self, now: Time, from: SocketAddr, alive: &Alive) -> Vec<Effect> {
+        if !self.members.alive(now, &from, alive.process) {
+            return vec![send(from, Body::Unknown(true))];
+        }
+        let mut effects = Vec::new();
+        if let Some(node) = self.members.get_mut(&from) {
+            node.revision = alive.revision;
+            if node.info.stage != alive.stage {
+                node.info.stage = alive.stage;
+                effects.push(Effect::Changed);
+            }
+        }
+        // The control VM that the sender follows may lag behind.
+        effects.extend(self.items_for(from, alive.revision));
+        effects
+    }
+
     /// The parts of the targets in which a process differs from this one.
     fn differing(&self, buckets: &[u32]) -> Vec<u32> {
         let own = self.registry.buckets().iter().zip(buckets).enumerate();
