Send items once, and rosters only where they differ

Change: items under way are not sent again for 450 ms and come from other control VMs only after 600 ms; control VMs compare their lists of control VMs; one control VM is asked at a time while none is followed.

--- a/crates/pimento_broker/src/lib.rs
+++ b/crates/pimento_broker/src/lib.rs
@@ -17,4 +17,4 @@
 pub use ask::{Ask, AskId, Effect, Ending, Report, Wait};
 pub use broker::{Broker, TargetView};
 pub use budget::Budget;
-pub use order::{Place, order};
+pub use order::{Origin, Place, order};
--- a/crates/pimento_broker/tests/support/mod.rs
+++ b/crates/pimento_broker/tests/support/mod.rs
@@ -3,7 +3,9 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
-use pimento_broker::{Ask, AskId, Broker, Effect, Ending, Place, Report, TargetView, order};
+use pimento_broker::{
+    Ask, AskId, Broker, Effect, Ending, Origin, Place, Report, TargetView, order,
+};
 use pimento_core::{Time, hash};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::{collections::BinaryHeap, sync::Arc, time::Duration};
@@ -193,7 +195,7 @@
             came: self.now,
             object,
             rank,
-            places: order(&places, &region, places.len(), object),
+            places: order(&places, origin(&region, places.len()), object),
             tried: 0,
             begun: self.now,
             target: None,
@@ -303,6 +305,17 @@
     }
 }
 
+/// Callers of a domain that is a region of its own.
+pub fn origin(domain: &str, domains: usize) -> Origin<'_> {
+    Origin {
+        domain,
+        region: domain,
+        domains,
+        regions: domains,
+        large: false,
+    }
+}
+
 pub fn place(domain: usize, targets: usize, slots: u32) -> Place {
     Place {
         domain: Arc::from(format!("d{domain}")),
--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -23,6 +23,11 @@
 const SUSPICION: Duration = Duration::from_secs(2);
 /// How long a process that asked what it lacks is told of changes at once.
 const FOLLOWING: Duration = Duration::from_millis(1_600);
+/// How long items are on their way before they are sent again.
+const RESEND: Duration = Duration::from_millis(450);
+/// How long a process lacks items until control VMs send them that it doesn't
+/// follow.
+const LAG: Duration = Duration::from_millis(600);
 /// The confirmed reports that are remembered.
 const CONFIRMED: usize = 1_024;
 
@@ -56,6 +61,10 @@
     /// Reports that are known wherever they must be.
     confirmed: VecDeque<(String, u64, i32)>,
     next_beat: Time,
+    /// When this control VM last got newer items.
+    changed: Time,
+    /// Counts the control VMs that were asked in turn.
+    turn: usize,
 }
 
 impl Fleet {
@@ -78,6 +87,8 @@
             roster: 0,
             confirmed: VecDeque::new(),
             next_beat: Time::ZERO,
+            changed: Time::ZERO,
+            turn: 0,
         }
     }
 
@@ -120,7 +131,7 @@
         self.config.me.stage = stage as i32;
         if stage == Stage::Gone {
             let bye = Body::Bye(self.config.me.process);
-            let controls = self.controls(now);
+            let controls = self.controls();
             return controls.map(|to| send(to, bye.clone())).collect();
         }
         let mut effects = self.beats(now);
@@ -131,9 +142,14 @@
     /// Takes the items that this control VM has applied.
     pub fn set_catalog(&mut self, now: Time, catalog: Arc<Catalog>) -> Vec<Effect> {
         self.catalog = catalog;
-        let mut effects: Vec<_> = self
+        self.changed = now;
+        let effects: Vec<_> = self
             .followers(now)
-            .filter_map(|n| self.items_for(n.address, n.revision))
+            .map(|n| (n.address, n.revision))
+            .collect();
+        let mut effects: Vec<_> = effects
+            .into_iter()
+            .filter_map(|(to, revision)| self.items_for(now, to, revision))
             .collect();
         effects.push(Effect::Changed);
         effects
@@ -299,7 +315,7 @@
     }
 
     /// The other control VMs that are known, alive or not, and the seeds.
-    fn controls(&self, _now: Time) -> impl Iterator<Item = SocketAddr> + use<> {
+    fn controls(&self) -> impl Iterator<Item = SocketAddr> + use<> {
         let known = self.members.of(Role::Control).map(|n| n.address);
         let me = self.config.me.socket();
         let mut all: Vec<_> = known.chain(self.config.seeds.iter().copied()).collect();
@@ -324,14 +340,12 @@
     }
 
     /// Shows the control VMs that this process lives.
-    fn beats(&self, now: Time) -> Vec<Effect> {
+    fn beats(&mut self, now: Time) -> Vec<Effect> {
         let control = self.config.me.role == Role::Control as i32;
-        let primary = self.primary(now);
-        let beats = self.controls(now).map(|to| {
-            // Until one is followed, each of them is asked; one of the own
-            // domain is followed again once it is back.
-            let followed = primary.is_none_or(|primary| primary == to);
-            if control || followed || self.is_near(&to) {
+        let followed = self.primary(now).or_else(|| self.next_control());
+        let beats = self.controls().map(|to| {
+            // One of the own domain is followed again once it is back.
+            if control || followed == Some(to) || self.is_near(&to) {
                 return self.full_beat(to);
             }
             let alive = Alive {
@@ -344,6 +358,14 @@
         beats.collect()
     }
 
+    /// The control VMs in turn, while none is followed: if all were asked, all
+    /// would answer with what only one answer is needed of.
+    fn next_control(&mut self) -> Option<SocketAddr> {
+        let all: Vec<_> = self.controls().collect();
+        self.turn += 1;
+        all.get(self.turn % all.len().max(1)).copied()
+    }
+
     /// Whether a process is known to be in this one's failure domain.
     fn is_near(&self, address: &SocketAddr) -> bool {
         let node = self.members.get(address);
@@ -356,7 +378,10 @@
             info: self.config.me.clone(),
             revision: self.catalog.revision(),
             buckets: self.registry.buckets().to_vec(),
-            roster: self.roster,
+            roster: match self.config.me.role() {
+                Role::Entry => self.roster,
+                Role::Control => digest(&self.control_nodes()),
+            },
         };
         send(to, Body::Beat(beat))
     }
@@ -373,11 +398,21 @@
         Vec::new()
     }
 
-    /// What a process lacks of the items, if anything.
-    pub(crate) fn items_for(&self, to: SocketAddr, revision: u64) -> Option<Effect> {
-        if revision >= self.catalog.revision() {
+    /// What a process lacks of the items, unless that is on its way to it.
+    pub(crate) fn items_for(&mut self, now: Time, to: SocketAddr, revision: u64) -> Option<Effect> {
+        let newest = self.catalog.revision();
+        if revision >= newest {
+            return None;
+        }
+        let node = self.members.get_mut(&to)?;
+        let under_way = (revision, newest);
+        if node
+            .sent
+            .is_some_and(|(sent, at)| sent == under_way && now.since(at) < RESEND)
+        {
             return None;
         }
+        node.sent = Some((under_way, now));
         let mut held: Vec<_> = self.catalog.since(revision).cloned().collect();
         for held in &mut held {
             // Only control VMs give back what operators sent.
@@ -385,12 +420,20 @@
         }
         let items = Items {
             from: revision,
-            to: self.catalog.revision(),
+            to: newest,
             held,
         };
         Some(send(to, Body::Items(items)))
     }
 
+    /// Whether a process lacks items for longer than it takes the control VM
+    /// that it follows to send them.
+    pub(crate) fn lags(&self, now: Time, address: SocketAddr) -> bool {
+        let node = self.members.get(&address);
+        node.is_some_and(|n| n.revision < self.catalog.revision() && now.since(n.reached) > LAG)
+            && now.since(self.changed) > LAG
+    }
+
     /// The entry VMs and control VMs as this control VM hears them.
     pub(crate) fn roster_nodes(&self, now: Time) -> Vec<NodeInfo> {
         let mut nodes: Vec<_> = self.alive(now).map(|n| n.info.clone()).collect();
@@ -398,9 +441,12 @@
         nodes
     }
 
-    /// The digest of the list of [`Self::roster_nodes`].
-    pub(crate) fn roster_digest(nodes: &[NodeInfo]) -> u64 {
-        digest(nodes)
+    /// The control VMs that this one knows, as others may lack some of them.
+    pub(crate) fn control_nodes(&self) -> Vec<NodeInfo> {
+        let others = self.members.of(Role::Control).map(|n| n.info.clone());
+        let mut nodes: Vec<_> = others.collect();
+        nodes.push(self.config.me.clone());
+        nodes
     }
 
     /// Who must hear news before they count as known: a majority of the control
@@ -408,7 +454,7 @@
     /// Others learn of it from the control VM that they follow.
     fn audience(&self, now: Time, binding: bool) -> Audience {
         let entries = self.alive(now).filter(|n| binding && n.is(Role::Entry));
-        let controls: Vec<_> = self.controls(now).collect();
+        let controls: Vec<_> = self.controls().collect();
         Audience {
             entries: entries.map(|n| n.address).collect(),
             needed: controls.len().div_ceil(2),
--- a/crates/pimento_fleet/src/members.rs
+++ b/crates/pimento_fleet/src/members.rs
@@ -18,6 +18,10 @@
     pub heard: Time,
     /// The newest revision of items that it is known to have.
     pub revision: u64,
+    /// When it got there.
+    pub reached: Time,
+    /// The items last sent to it, by the revisions that they lead from and to.
+    pub sent: Option<((u64, u64), Time)>,
     /// When it last asked this VM for what it lacks.
     pub follows: Option<Time>,
 }
@@ -28,6 +32,14 @@
         self.info.role == role as i32
     }
 
+    /// Notes the revision of items that it has.
+    pub(crate) fn reach(&mut self, now: Time, revision: u64) {
+        if self.revision != revision {
+            self.revision = revision;
+            self.reached = now;
+        }
+    }
+
     /// Whether it serves.
     pub fn ready(&self) -> bool {
         self.info.stage == Stage::Ready as i32
@@ -48,6 +60,7 @@
                 let changed = node.info != *info;
                 if node.info.process != info.process {
                     node.revision = 0;
+                    node.sent = None;
                 }
                 if changed {
                     node.info = info.clone();
@@ -60,6 +73,8 @@
                     info: info.clone(),
                     heard: now,
                     revision: 0,
+                    reached: now,
+                    sent: None,
                     follows: None,
                 };
                 self.0.insert(i, node);
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -3,6 +3,7 @@
 use crate::{
     Effect, Fleet, NodeInfo, Role,
     fleet::send,
+    members::digest,
     message::{Alive, Beat, Body, Items, Message, Pong, Roster, Targets},
 };
 use bytes::Bytes;
@@ -54,7 +55,7 @@
         let changed = self.members.hear(now, from, &beat.info);
         let full = !beat.buckets.is_empty();
         if let Some(node) = self.members.get_mut(&from) {
-            node.revision = beat.revision;
+            node.reach(now, beat.revision);
             if full {
                 node.follows = Some(now);
             }
@@ -66,8 +67,11 @@
         let differing = self.differing(&beat.buckets);
         let mut roster = 0;
         if full {
-            let nodes = self.roster_nodes(now);
-            roster = Self::roster_digest(&nodes);
+            let nodes = match beat.info.role() {
+                Role::Entry => self.roster_nodes(now),
+                Role::Control => self.control_nodes(),
+            };
+            roster = digest(&nodes);
             if beat.roster != roster {
                 effects.push(send(from, Body::Roster(Roster { nodes })));
             }
@@ -78,8 +82,8 @@
             roster,
         };
         effects.push(send(from, Body::Pong(pong)));
-        if beat.info.role == Role::Entry as i32 {
-            effects.extend(self.items_for(from, beat.revision));
+        if beat.info.role() == Role::Entry {
+            effects.extend(self.items_for(now, from, beat.revision));
         }
         if !differing.is_empty() {
             effects.push(self.targets_for(now, from, differing));
@@ -93,14 +97,16 @@
         }
         let mut effects = Vec::new();
         if let Some(node) = self.members.get_mut(&from) {
-            node.revision = alive.revision;
+            node.reach(now, alive.revision);
             if node.info.stage != alive.stage {
                 node.info.stage = alive.stage;
                 effects.push(Effect::Changed);
             }
         }
-        // The control VM that the sender follows may lag behind.
-        effects.extend(self.items_for(from, alive.revision));
+        if self.lags(now, from) {
+            // The control VM that the sender follows lags behind too.
+            effects.extend(self.items_for(now, from, alive.revision));
+        }
         effects
     }
 
@@ -150,7 +156,7 @@
             }
             return Vec::new();
         }
-        self.roster = Self::roster_digest(&roster.nodes);
+        self.roster = digest(&roster.nodes);
         // Whether a control VM can be reached only this process can tell.
         let known = |a: &SocketAddr| self.members.get(a).is_some_and(|n| n.is(Role::Control));
         let news = others.into_iter().filter(|(address, _)| !known(address));
--- a/crates/pimento_gateway/src/gateway.rs
+++ b/crates/pimento_gateway/src/gateway.rs
@@ -7,6 +7,7 @@
     inbound::Inbound,
     lines::Lines,
     pool::Pool,
+    sizes::Sizes,
 };
 use actix::Addr;
 use hyper::{Request, Response, body::Incoming};
@@ -33,8 +34,12 @@
 pub struct GatewayConfig {
     /// The names of headers.
     pub dialect: Dialect,
-    /// The region of this VM.
+    /// The failure domain of this VM.
+    pub domain: Arc<str>,
+    /// Its region.
     pub region: Arc<str>,
+    /// The number of failure domains.
+    pub domains: usize,
     /// The number of regions.
     pub regions: usize,
     /// What all VMs together may repeat: for each request, and beyond that
@@ -63,6 +68,7 @@
     pub budgets: Budgets,
     /// How the routes with several services are divided, by name.
     pub splits: RefCell<Vec<(Arc<str>, Split)>>,
+    pub sizes: Sizes,
     pub serial: Cell<u64>,
 }
 
@@ -90,6 +96,7 @@
             pool: Rc::default(),
             budgets: Budgets::default(),
             splits: RefCell::default(),
+            sizes: Sizes::default(),
             serial: Cell::new(1),
         });
         let pool = Rc::clone(&inner.pool);
--- a/crates/pimento_gateway/src/lib.rs
+++ b/crates/pimento_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod lines;
 mod placing;
 mod pool;
+mod sizes;
 mod stop;
 
 pub use accept::{Idle, serve};
