--- a/crates/pimento_fleet/src/actor.rs
+++ b/crates/pimento_fleet/src/actor.rs
@@ -97,6 +97,9 @@
                 Effect::Send { to, message } => self.send(to, message),
                 Effect::Decided { serial, verdict } => self.decide(serial, verdict),
                 Effect::Known { ticket } => self.acknowledge(ticket),
+                Effect::Suspected(vm) => {
+                    event!(self.log, Event::VmSuspected, "vm_address" => %vm);
+                }
                 Effect::Changed => self.changed = true,
             }
         }
--- a/crates/pimento_fleet/src/effect.rs
+++ b/crates/pimento_fleet/src/effect.rs
@@ -30,6 +30,8 @@
         /// The number that the report was given.
         ticket: u64,
     },
+    /// A process did not answer and is left out for a while.
+    Suspected(SocketAddr),
     /// What requests are decided by has changed.
     Changed,
 }
--- a/crates/pimento_fleet/src/granting.rs
+++ b/crates/pimento_fleet/src/granting.rs
@@ -55,6 +55,7 @@
         for pending in given_up {
             if pending.deadline > now {
                 self.suspect(now, pending.to);
+                effects.push(Effect::Suspected(pending.to));
             }
             let serial = pending.ask.serial;
             let cancelled = done_place(serial, &cancelled());
--- a/crates/pimento_fleet/tests/world/mod.rs
+++ b/crates/pimento_fleet/tests/world/mod.rs
@@ -225,7 +225,7 @@
                     self.processes[i].verdicts.push((serial, verdict));
                 }
                 Effect::Known { ticket } => self.processes[i].known.push(ticket),
-                Effect::Changed => {}
+                Effect::Suspected(_) | Effect::Changed => {}
             }
         }
     }
--- a/crates/pimento_gateway/src/course.rs
+++ b/crates/pimento_gateway/src/course.rs
@@ -42,6 +42,8 @@
     /// The targets that it was sent to.
     tried: Vec<Arc<str>>,
     waited: Duration,
+    /// The requests that ran and waited at the last target, by its account.
+    load: Option<(u32, u32)>,
 }
 
 /// What a request's route settles for it.
@@ -72,6 +74,7 @@
             attempts: 0,
             tried: Vec::new(),
             waited: Duration::ZERO,
+            load: None,
         }
     }
 
@@ -210,6 +213,7 @@
         let begun = Instant::now();
         let (outcome, signs) = attempt.send(&mut self.inbound).await;
         self.inner.sizes.note(&plan.name, &self.inbound, &outcome);
+        self.load = signs.load;
         permit.finish(evidence(&outcome, signs, begun.elapsed()));
         self.note(plan, id, &outcome);
         self.judge(plan, outcome, once)
@@ -309,6 +313,8 @@
             "object" => self.inbound.object, "domain" => plan.and_then(|p| p.places.first()).map(|p| &*p.domain),
             "route" => plan.map(|p| &*p.name), "service" => plan.map(|p| &*p.service),
             "attempts" => self.attempts, "target" => self.tried.last().map(|t| &**t),
+            "running" => self.load.map(|(running, _)| running),
+            "waiting" => self.load.map(|(_, waiting)| waiting),
             "waited_ms" => self.waited.as_millis() as u64,
             "took_ms" => self.inbound.arrived.elapsed().as_millis() as u64,
             "revision" => self.view.catalog.revision(), "dropped" => dropped);
--- a/crates/pimento_log/src/event.rs
+++ b/crates/pimento_log/src/event.rs
@@ -62,6 +62,8 @@
     VmAlive = 302, Info, "VM alive";
     /// A VM of the failure domain has stopped as planned.
     VmLeft = 303, Info, "VM left";
+    /// A VM that grants places did not answer.
+    VmSuspected = 304, Warning, "VM did not answer";
     /// This VM holds the lease of a target.
     LeaseTaken = 401, Info, "target lease taken";
     /// This VM no longer holds the lease of a target.
