Remember the control VMs that an entry VM doesn't hear

Cause: an entry VM hears only the control VM that it follows. Ruled out: VMs suspected by mistake (none), lost returns of places. Change: a process is kept while the followed control VM names it. pimento_fleet::finding::long_run fails without the change.

--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -230,12 +230,7 @@
         let mut view = View {
             catalog: Arc::clone(&self.catalog),
             routes: Arc::new(RouteTable::new(&self.catalog)),
-            vms: self
-                .members
-                .of(Role::Entry)
-                .filter(|n| n.ready())
-                .count()
-                .max(1),
+            vms: self.entry_count(),
             ready: self.config.me.stage == Stage::Ready as i32,
             ..View::default()
         };
@@ -254,6 +249,14 @@
         view
     }
 
+    /// The entry VMs that serve, this one included.
+    fn entry_count(&self) -> usize {
+        let others = self.members.of(Role::Entry).filter(|n| n.ready()).count();
+        let me = &self.config.me;
+        let own = me.role() == Role::Entry && me.stage() == Stage::Ready;
+        others + usize::from(own)
+    }
+
     /// Hands the broker what is known of all targets.
     pub(crate) fn refresh_broker(&mut self, now: Time) -> Vec<Effect> {
         let views = self
--- a/crates/pimento_fleet/src/members.rs
+++ b/crates/pimento_fleet/src/members.rs
@@ -4,7 +4,7 @@
 use pimento_core::{Time, hash};
 use std::{net::SocketAddr, time::Duration};
 
-/// How long a process is remembered after it was heard last.
+/// How long a process is remembered after it was heard or named last.
 const MEMORY: Duration = Duration::from_secs(20);
 
 /// A process.
@@ -14,8 +14,11 @@
     pub address: SocketAddr,
     /// As it describes itself.
     pub info: NodeInfo,
-    /// When it was heard, or when a control VM last named it.
+    /// When it was heard; for an entry VM that another one knows of, when the
+    /// followed control VM had heard it.
     pub heard: Time,
+    /// When the followed control VM last named it.
+    pub named: Time,
     /// The newest revision of items that it is known to have.
     pub revision: u64,
     /// When it got there.
@@ -72,6 +75,7 @@
                     address,
                     info: info.clone(),
                     heard: now,
+                    named: now,
                     revision: 0,
                     reached: now,
                     sent: None,
@@ -114,8 +118,11 @@
 
     /// Notes that the list of a control VM is still the same.
     pub(crate) fn confirm(&mut self, now: Time) {
-        for node in self.0.iter_mut().filter(|n| n.is(Role::Entry)) {
-            node.heard = now;
+        for node in &mut self.0 {
+            node.named = now;
+            if node.is(Role::Entry) {
+                node.heard = now;
+            }
         }
     }
 
@@ -126,9 +133,9 @@
         }
     }
 
-    /// Forgets processes that were not heard for long.
+    /// Forgets processes that were neither heard nor named for long.
     pub(crate) fn forget(&mut self, now: Time) {
-        self.0.retain(|n| now.since(n.heard) < MEMORY);
+        self.0.retain(|n| now.since(n.heard.max(n.named)) < MEMORY);
     }
 
     pub(crate) fn get_mut(&mut self, address: &SocketAddr) -> Option<&mut Node> {
--- a/crates/pimento_fleet/tests/finding.rs
+++ b/crates/pimento_fleet/tests/finding.rs
@@ -85,3 +85,19 @@
         assert_eq!(view.catalog.revision(), 1);
     }
 }
+
+/// An entry VM hears only the control VM that it follows, and must go on
+/// telling the others that it lives.
+#[test]
+fn long_run() {
+    let mut world = world(6, 10, 1);
+    world.set_items(1);
+    world.run(60 * SECOND);
+    let now = world.now;
+    for i in 0..world.processes.len() {
+        if world.processes[i].role == Role::Control {
+            assert_eq!(world.processes[i].fleet.nodes(now).len(), 15);
+        }
+        assert_eq!(world.processes[i].fleet.view().vms, 10);
+    }
+}
