--- a/crates/pimento_broker/src/ask.rs
+++ b/crates/pimento_broker/src/ask.rs
@@ -74,8 +74,10 @@
     Shed,
     /// The target failed it.
     Failed,
-    /// The target could not be reached, or broke off.
+    /// The target broke off.
     Broken,
+    /// The target could not be reached.
+    Unreachable,
     /// Another target has the address.
     Replaced,
     /// The caller left, or the request was not sent after all.
--- a/crates/pimento_broker/src/target.rs
+++ b/crates/pimento_broker/src/target.rs
@@ -35,7 +35,7 @@
     limit: u32,
     /// The objects seen, oldest first.
     warm: Vec<u64>,
-    /// The failures in a row.
+    /// The failures in a row; one that could not be reached counts as two.
     failures: u32,
     /// Until when it gets nothing.
     paused: Time,
@@ -75,12 +75,12 @@
 
     /// Whether it is known to be out of order.
     pub(crate) fn broken(&self, now: Time) -> bool {
-        self.failures > 0 && now < self.paused
+        self.failures > 1 && now < self.paused
     }
 
     /// Whether it may get a request now.
     pub(crate) fn free(&self, now: Time) -> bool {
-        let limit = if self.failures > 0 { 1 } else { self.limit };
+        let limit = if self.failures > 1 { 1 } else { self.limit };
         let cold = now < self.view.cold_until && now < self.next_cold;
         self.open() && now >= self.paused && self.running < limit && !cold
     }
@@ -105,7 +105,7 @@
     /// Whether it neither fails more than its like nor is slower.
     pub(crate) fn sound(&self) -> bool {
         let quick = self.ratio.secs().is_none_or(|ratio| ratio < SLOW);
-        self.failures == 0 && self.doubt < DOUBTED && quick
+        self.failures < 2 && self.doubt < DOUBTED && quick
     }
 
     /// Gives a place to a request.
@@ -134,7 +134,12 @@
             Ending::Answered => self.succeed(report, like),
             Ending::Failed => self.fail(1.0),
             Ending::Shed => self.shed(now, report),
-            Ending::Broken => self.break_off(now),
+            Ending::Broken if self.failures == 0 => {
+                // One answer may be spoilt; the next one tells.
+                self.failures = 1;
+                self.fail(1.0);
+            }
+            Ending::Broken | Ending::Unreachable => self.break_off(now),
             Ending::Replaced => self.view.open = false,
             Ending::Cancelled => {}
         }
@@ -169,8 +174,8 @@
 
     fn break_off(&mut self, now: Time) {
         self.fail(1.0);
-        self.failures = (self.failures + 1).min(8);
-        let pause = FIRST_PAUSE * 2_u32.pow(self.failures - 1);
+        self.failures = (self.failures.max(1) + 1).min(8);
+        let pause = FIRST_PAUSE * 2_u32.pow(self.failures.saturating_sub(2));
         self.paused = now + pause.min(LAST_PAUSE);
         self.warm.clear();
     }
--- a/crates/pimento_broker/tests/places.rs
+++ b/crates/pimento_broker/tests/places.rs
@@ -116,6 +116,37 @@
     assert!((6..=10).contains(&sent), "{sent}");
 }
 
+#[test]
+fn spoilt_answer() {
+    let mut broker = broker(vec![view("a", "d0", 4)]);
+    broker.submit(START, ask(1, START, SECOND));
+    let spoilt = report(Ending::Broken, Duration::from_millis(5));
+    broker.finish(START, &id(1), &spoilt);
+    // One spoilt answer takes no places away.
+    let granted = (2..8).filter_map(|i| granted(&broker.submit(START, ask(i, START, SECOND))));
+    assert_eq!(granted.count(), 4);
+}
+
+#[test]
+fn lost_target() {
+    let mut broker = broker(vec![view("a", "d0", 4)]);
+    broker.submit(START, ask(1, START, SECOND));
+    let lost = report(Ending::Unreachable, Duration::from_millis(5));
+    broker.finish(START, &id(1), &lost);
+    let refused = broker.submit(START, ask(2, START, SECOND));
+    assert!(matches!(
+        refused.as_slice(),
+        [Effect::Refuse {
+            wait: Wait::Unknown,
+            ..
+        }]
+    ));
+    // After a pause one request finds out.
+    let later = START + Duration::from_millis(400);
+    let granted = (3..8).filter_map(|i| granted(&broker.submit(later, ask(i, later, SECOND))));
+    assert_eq!(granted.count(), 1);
+}
+
 #[test]
 fn broken_target() {
     let mut broker = broker(vec![view("a", "d0", 4), view("b", "d0", 4)]);
--- a/crates/pimento_fleet/src/granting.rs
+++ b/crates/pimento_fleet/src/granting.rs
@@ -288,13 +288,14 @@
 }
 
 /// The endings as numbers in messages.
-const ENDINGS: [Ending; 6] = [
+const ENDINGS: [Ending; 7] = [
     Ending::Answered,
     Ending::Shed,
     Ending::Failed,
     Ending::Broken,
     Ending::Replaced,
     Ending::Cancelled,
+    Ending::Unreachable,
 ];
 
 fn done_place(serial: u64, report: &Report) -> DonePlace {
--- a/crates/pimento_gateway/src/course.rs
+++ b/crates/pimento_gateway/src/course.rs
@@ -345,7 +345,8 @@
         Outcome::Answered(_) => Ending::Answered,
         Outcome::Shed => Ending::Shed,
         Outcome::Replaced => Ending::Replaced,
-        Outcome::NotSent(_) | Outcome::Broken(_) => Ending::Broken,
+        Outcome::NotSent(_) => Ending::Unreachable,
+        Outcome::Broken(_) => Ending::Broken,
         Outcome::Timeout(true) => Ending::Failed,
         Outcome::Timeout(false) => Ending::Cancelled,
     };
