--- a/crates/pimento_broker/src/broker.rs
+++ b/crates/pimento_broker/src/broker.rs
@@ -245,25 +245,17 @@
             return false;
         };
         let knows = |t: &Target| t.is_warm(object) && t.sound() && !t.broken(now);
-        let mut known = self.candidates(&waiting.ask).filter(|(_, t)| knows(t));
-        let Some((_, target)) = known.next() else {
+        let mut warm = self.candidates(&waiting.ask).filter(|(_, t)| knows(t));
+        let Some((_, target)) = warm.next() else {
             return false;
         };
-        let others = self
-            .queue
-            .0
-            .iter()
-            .filter(|w| w.turn(now) < waiting.turn(now));
-        let rivals = others.filter(|w| w.ask.object.is_some_and(|o| target.is_warm(o)));
+        let turn = waiting.turn(now);
+        let before = self.queue.0.iter().filter(|w| w.turn(now) < turn);
+        let rivals = before.filter(|w| w.ask.object.is_some_and(|o| target.is_warm(o)));
         let turns = rivals.count() as f64 + 1.0;
-        let wait = pool
-            .warm
-            .mean(FIRST_PACE)
-            .mul_f64(turns / f64::from(target.view.slots));
-        let gain = pool
-            .fresh
-            .mean(FIRST_PACE)
-            .saturating_sub(pool.warm.mean(FIRST_PACE));
+        let run = pool.warm.mean(FIRST_PACE);
+        let wait = run.mul_f64(turns / f64::from(target.view.slots));
+        let gain = pool.fresh.mean(FIRST_PACE).saturating_sub(run);
         wait < gain && now + wait <= waiting.start_by
     }
 
--- a/crates/pimento_broker/tests/peak.rs
+++ b/crates/pimento_broker/tests/peak.rs
@@ -18,7 +18,7 @@
         fresh: Duration::from_millis(640),
         warm: Duration::from_millis(192),
         objective: Duration::from_millis(400),
-        deadline: Duration::from_millis(1_000),
+        deadline: Duration::from_secs(1),
         span: Duration::from_secs(30),
         seed,
     }
--- a/crates/pimento_broker/tests/shares.rs
+++ b/crates/pimento_broker/tests/shares.rs
@@ -10,7 +10,7 @@
 #[test]
 fn storm() {
     const VMS: u64 = 20;
-    let mut sent = vec![0_u32; 40];
+    let mut sent = [0_u32; 40];
     for vm in 0..VMS {
         let mut budget = Budget::new(Time::ZERO, 120.0, WINDOW, VMS as usize);
         for ms in (vm..40_000).step_by(60) {
--- a/crates/pimento_broker/tests/support/mod.rs
+++ b/crates/pimento_broker/tests/support/mod.rs
@@ -240,7 +240,7 @@
     fn apply(&mut self, domain: usize, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Grant { id, target } => self.begin(domain, id.serial, target),
+                Effect::Grant { id, target } => self.begin(domain, id.serial, &target),
                 Effect::Refuse { id, .. } => {
                     self.requests[id.serial as usize].tried += 1;
                     self.submit(id.serial);
@@ -249,12 +249,12 @@
         }
     }
 
-    fn begin(&mut self, domain: usize, number: u64, target: Arc<str>) {
+    fn begin(&mut self, domain: usize, number: u64, target: &Arc<str>) {
         let request = &mut self.requests[number as usize];
         request.begun = self.now;
-        request.target = Some(Arc::clone(&target));
+        request.target = Some(Arc::clone(target));
         let object = request.object;
-        let found = self.targets.iter_mut().find(|(id, ..)| *id == target);
+        let found = self.targets.iter_mut().find(|(id, ..)| id == target);
         let (_, memory, running) = found.unwrap();
         *running += 1;
         self.result.most = self.result.most.max(*running);
--- a/crates/pimento_entry/tests/support/mod.rs
+++ b/crates/pimento_entry/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! One entry VM on loopback with stand-in targets.
 
 use awc::Client;
-use pimento_control::{Control, ControlConfig};
+use pimento_control::{Control, ControlConfig, Group};
 use pimento_core::{DomainId, RegionId, ServiceId, TargetId, VmId};
 use pimento_entry::{Entry, Sockets};
 use pimento_link::{Key, Links};
--- a/crates/pimento_fleet/src/asks.rs
+++ b/crates/pimento_fleet/src/asks.rs
@@ -79,7 +79,7 @@
     fn remaining(&self, now: Time) -> AskMessage {
         let passed = now.since(self.since).as_millis() as u64;
         let mut ask = self.ask.clone();
-        ask.objective_ms -= passed as i64;
+        ask.objective_ms = ask.objective_ms.saturating_sub_unsigned(passed);
         ask.deadline_ms = ask.deadline_ms.saturating_sub(passed);
         ask
     }
--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -175,13 +175,11 @@
         if taken == Taken::Known && (!binding || self.is_confirmed(&held)) {
             return (None, effects);
         }
-        let ticket = match self.spread.pending(&held) {
-            Some(ticket) => ticket,
-            None => {
-                let audience = self.audience(now, binding);
-                self.spread.begin(now, held.clone(), audience)
-            }
-        };
+        let pending = self.spread.pending(&held);
+        let ticket = pending.unwrap_or_else(|| {
+            let audience = self.audience(now, binding);
+            self.spread.begin(now, held.clone(), audience)
+        });
         if !binding {
             effects.extend(self.tell_followers(now, vec![held]));
         }
--- a/crates/pimento_fleet/src/granting.rs
+++ b/crates/pimento_fleet/src/granting.rs
@@ -36,13 +36,11 @@
             let process = self.config.me.process;
             return self.finish(now, AskId { process, serial }, report);
         };
-        match self.holders.swap_remove(at).1 {
-            Some(to) => vec![self.give_back(to, done_place(serial, report))],
-            None => {
-                let process = self.config.me.process;
-                self.finish(now, AskId { process, serial }, report)
-            }
+        if let Some(to) = self.holders.swap_remove(at).1 {
+            return vec![self.give_back(to, done_place(serial, report))];
         }
+        let process = self.config.me.process;
+        self.finish(now, AskId { process, serial }, report)
     }
 
     /// Sends asks again that got no answer, and gives up on others.
--- a/crates/pimento_fleet/src/members.rs
+++ b/crates/pimento_fleet/src/members.rs
@@ -108,10 +108,10 @@
 
     /// Takes the list of a control VM in the place of what was known; the
     /// control VMs that it doesn't hear are kept for a while, as others may.
-    pub(crate) fn replace(&mut self, now: Time, nodes: Vec<(SocketAddr, NodeInfo)>) {
+    pub(crate) fn replace(&mut self, now: Time, nodes: &[(SocketAddr, NodeInfo)]) {
         let listed = |n: &Node| nodes.iter().any(|(address, _)| *address == n.address);
         self.0.retain(|n| n.is(Role::Control) || listed(n));
-        for (address, info) in &nodes {
+        for (address, info) in nodes {
             self.hear(now, *address, info);
         }
     }
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -161,7 +161,7 @@
         let known = |a: &SocketAddr| self.members.get(a).is_some_and(|n| n.is(Role::Control));
         let news = others.into_iter().filter(|(address, _)| !known(address));
         let news: Vec<_> = news.collect();
-        self.members.replace(now, news);
+        self.members.replace(now, &news);
         self.members.hear_again(now, &from);
         let mut effects = self.mature();
         effects.push(Effect::Changed);
--- a/crates/pimento_gateway/src/accept.rs
+++ b/crates/pimento_gateway/src/accept.rs
@@ -120,17 +120,11 @@
         .pipeline_flush(true);
     let served = builder.serve_connection(TokioIo::new(tcp), service);
     let mut served = pin!(served);
-    loop {
-        let end = pin!(ended(&usage, idle.limit, &stop));
-        match select(served.as_mut(), end).await {
-            // A caller that broke off has no use for the error.
-            Either::Left(_) => break,
-            Either::Right(_) => {
-                Pin::as_mut(&mut served).graceful_shutdown();
-                served.as_mut().await.unwrap_or_default();
-                break;
-            }
-        }
+    let end = pin!(ended(&usage, idle.limit, &stop));
+    // A caller that broke off has no use for the error.
+    if let Either::Right(_) = select(served.as_mut(), end).await {
+        Pin::as_mut(&mut served).graceful_shutdown();
+        served.await.unwrap_or_default();
     }
     drop(open);
 }
--- a/crates/pimento_gateway/src/attempt.rs
+++ b/crates/pimento_gateway/src/attempt.rs
@@ -5,7 +5,7 @@
     answer::{BoxError, full},
     headers,
     inbound::{Inbound, InboundBody},
-    pool::{self, Connection, Pool},
+    pool::{self, ConnectError, Connection, Pool},
 };
 use bytes::{Bytes, BytesMut};
 use futures_util::{StreamExt, stream};
@@ -102,16 +102,17 @@
     }
 
     async fn connect(&self) -> Result<Connection, Outcome> {
-        match timeout_at(self.deadline, pool::connect(self.target.address)).await {
-            Err(_) => Err(Outcome::Timeout(false)),
-            Ok(Err(pool::ConnectError::Timeout)) => {
-                Err(Outcome::NotSent("connecting took too long"))
-            }
-            Ok(Err(pool::ConnectError::Refused)) => {
-                Err(Outcome::NotSent("the connection was refused"))
-            }
-            Ok(Ok(connection)) => Ok(connection),
-        }
+        let Ok(connected) = timeout_at(self.deadline, pool::connect(self.target.address)).await
+        else {
+            return Err(Outcome::Timeout(false));
+        };
+        connected.map_err(|e| {
+            Outcome::NotSent(match e {
+                ConnectError::Timeout(_) => "connecting took too long",
+                ConnectError::Refused(_) => "the connection was refused",
+                ConnectError::Broken(_) => "the connection broke off",
+            })
+        })
     }
 
     fn request(&self, inbound: &Inbound, body: ResponseBody) -> Request<ResponseBody> {
--- a/crates/pimento_gateway/src/budgets.rs
+++ b/crates/pimento_gateway/src/budgets.rs
@@ -23,7 +23,7 @@
     /// Notes a request for a service.
     pub(crate) fn request(&self, now: Time, service: &Arc<str>, repeats: &Repeats, vms: usize) {
         self.with(now, service, repeats, vms, |b| {
-            b.request(now, repeats.ratio)
+            b.request(now, repeats.ratio);
         });
     }
 
--- a/crates/pimento_gateway/src/course.rs
+++ b/crates/pimento_gateway/src/course.rs
@@ -165,7 +165,7 @@
             self.waited += asked.elapsed();
             let (target, permit) = match placed {
                 Ok(placed) => placed,
-                Err(refusal) => return answer.unwrap_or_else(|| self.refuse(plan, refusal)),
+                Err(refusal) => return answer.unwrap_or_else(|| Self::refuse(plan, refusal)),
             };
             match self.attempt(plan, &target, permit).await {
                 Next::Answer(answer) => return answer,
@@ -229,7 +229,7 @@
                 Next::Again(passed(answer))
             }
             Outcome::Answered(answer) => Next::Answer(passed(answer)),
-            Outcome::Shed => Next::Again(self.busy(plan, "the target refused the request")),
+            Outcome::Shed => Next::Again(Self::busy(plan, "the target refused the request")),
             Outcome::Replaced => Next::Again(Self::not_run("another target has the address")),
             Outcome::NotSent(reason) => Next::Again(Self::not_run(reason)),
             Outcome::Broken(reason) if repeatable => Next::Again(unclear(false, reason)),
@@ -253,7 +253,7 @@
         self.attempts == 0 || self.inner.budgets.spend(now, &plan.service, repeats, vms)
     }
 
-    fn refuse(&self, plan: &Plan, refusal: NoPlace) -> Answer {
+    fn refuse(plan: &Plan, refusal: NoPlace) -> Answer {
         match refusal {
             NoPlace::Full(wait) => Answer::NotRun {
                 after: Some(spread(wait)),
@@ -270,7 +270,7 @@
         }
     }
 
-    fn busy(&self, plan: &Plan, reason: &'static str) -> Answer {
+    fn busy(plan: &Plan, reason: &'static str) -> Answer {
         Answer::NotRun {
             after: Some(spread(plan.route.objective() / 4)),
             reason,
--- a/crates/pimento_gateway/src/inbound.rs
+++ b/crates/pimento_gateway/src/inbound.rs
@@ -109,10 +109,12 @@
     }
     let mut read = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Answer::Refused {
-            status: StatusCode::BAD_REQUEST,
-            reason: "the body ended early",
-        })?;
+        let Ok(frame) = frame else {
+            return Err(Answer::Refused {
+                status: StatusCode::BAD_REQUEST,
+                reason: "the body ended early",
+            });
+        };
         if let Ok(data) = frame.into_data() {
             read.extend_from_slice(&data);
         }
--- a/crates/pimento_gateway/src/pool.rs
+++ b/crates/pimento_gateway/src/pool.rs
@@ -99,23 +99,22 @@
 }
 
 /// A target could not be reached, so nothing was sent to it.
-#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[derive(Debug, thiserror::Error)]
 pub(crate) enum ConnectError {
     #[error("connecting took too long")]
-    Timeout,
+    Timeout(#[from] tokio::time::error::Elapsed),
     #[error("the connection was refused")]
-    Refused,
+    Refused(#[from] std::io::Error),
+    #[error("the connection broke off")]
+    Broken(#[from] hyper::Error),
 }
 
 /// Opens a connection.
 pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, ConnectError> {
-    let tcp = timeout(CONNECT, TcpStream::connect(address)).await;
-    let tcp = tcp.map_err(|_| ConnectError::Timeout)?;
-    let tcp = tcp.map_err(|_| ConnectError::Refused)?;
+    let tcp = timeout(CONNECT, TcpStream::connect(address)).await??;
     // Without it requests are only later, not wrong.
     tcp.set_nodelay(true).unwrap_or_default();
-    let shaken = http1::handshake(TokioIo::new(tcp)).await;
-    let (sender, driver) = shaken.map_err(|_| ConnectError::Refused)?;
+    let (sender, driver) = http1::handshake(TokioIo::new(tcp)).await?;
     let task = actix_rt::spawn(async move {
         // How it ended shows in what was sent on it.
         driver.await.unwrap_or_default();
--- a/crates/pimento_gateway/tests/answers.rs
+++ b/crates/pimento_gateway/tests/answers.rs
@@ -107,7 +107,7 @@
 
 #[actix_rt::test]
 async fn nothing_known() {
-    let site = Site::bare().await;
+    let site = Site::bare();
     let reply = site.call("/safe/x", "", "").await;
     assert_eq!(
         reply.status, 503,
--- a/crates/pimento_gateway/tests/support/mod.rs
+++ b/crates/pimento_gateway/tests/support/mod.rs
@@ -157,7 +157,7 @@
 impl Site {
     /// A gateway that knows some targets.
     pub async fn start(acts: &[Act]) -> Self {
-        let site = Self::bare().await;
+        let site = Self::bare();
         site.control.send(SetCatalog(catalog())).await.unwrap();
         let mut site = site;
         for (i, act) in acts.iter().enumerate() {
@@ -177,7 +177,7 @@
     }
 
     /// A gateway that knows nothing.
-    pub async fn bare() -> Self {
+    pub fn bare() -> Self {
         let (control_at, entry_at) = (free_udp(), free_udp());
         let shared = Shared::default();
         let control = fleet(Role::Control, control_at, control_at, &Shared::default());
--- a/crates/pimento_items/src/catalog.rs
+++ b/crates/pimento_items/src/catalog.rs
@@ -66,7 +66,7 @@
         if self.evacuated(domain) == on {
             return;
         }
-        let body = on.then_some(Body::Evacuation(crate::Evacuation {}));
+        let body = on.then_some(Body::Evacuation(()));
         let mut item = Item::removal(Sort::Evacuation, domain, at);
         item.body = body;
         self.put(item, at);
--- a/crates/pimento_items/src/check.rs
+++ b/crates/pimento_items/src/check.rs
@@ -14,7 +14,7 @@
     match &item.body {
         Some(Body::Route(route)) => self::route(item, route),
         Some(Body::Service(service)) => self::service(item, service),
-        Some(Body::Limits(_) | Body::Evacuation(_)) | None => Ok(()),
+        Some(Body::Limits(_) | Body::Evacuation(())) | None => Ok(()),
     }
 }
 
--- a/crates/pimento_items/src/item.rs
+++ b/crates/pimento_items/src/item.rs
@@ -50,7 +50,7 @@
     Limits(Limits),
     /// Of a [`Sort::Evacuation`].
     #[prost(message, tag = "8")]
-    Evacuation(Evacuation),
+    Evacuation(()),
 }
 
 /// A service and how its targets are treated.
@@ -143,10 +143,6 @@
     pub idle_ms: u32,
 }
 
-/// A failure domain whose targets are to get nothing.
-#[derive(Clone, Eq, PartialEq, prost::Message)]
-pub struct Evacuation {}
-
 /// What tells an item from all others; services sort before the routes that
 /// refer to them.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -196,7 +192,7 @@
             Self::Service(_) => Sort::Service,
             Self::Route(_) => Sort::Route,
             Self::Limits(_) => Sort::Limits,
-            Self::Evacuation(_) => Sort::Evacuation,
+            Self::Evacuation(()) => Sort::Evacuation,
         }
     }
 }
--- a/crates/pimento_items/src/lib.rs
+++ b/crates/pimento_items/src/lib.rs
@@ -16,6 +16,6 @@
 
 pub use catalog::{Catalog, Held};
 pub use change::{Change, Refusal};
-pub use item::{Body, Evacuation, Item, Key, Limits, Part, Repeat, Route, Service, Sort};
+pub use item::{Body, Item, Key, Limits, Part, Repeat, Route, Service, Sort};
 pub use routes::RouteTable;
 pub use split::Split;
