--- a/crates/pimento_cli/src/args.rs
+++ b/crates/pimento_cli/src/args.rs
@@ -55,12 +55,25 @@
     Json,
 }
 
+/// What to explain, and from which logs.
+#[derive(Debug, clap::Args)]
+pub struct Explain {
+    /// The id of the request.
+    pub id: String,
+    /// The logs of the processes, one JSON object a line; other text before
+    /// it on the line is skipped.
+    #[arg(required = true)]
+    pub logs: Vec<PathBuf>,
+}
+
 /// What can be asked for.
 #[derive(Debug, Subcommand)]
 pub enum Command {
     /// Release notes.
     #[command(subcommand)]
     Note(Note),
+    /// Tells a request's way from the logs of the processes.
+    Explain(Explain),
     /// Shows VMs, targets, leases, versions and the control group.
     Status,
     /// Targets.
--- a/crates/pimento_cli/src/main.rs
+++ b/crates/pimento_cli/src/main.rs
@@ -9,6 +9,7 @@
 mod client;
 mod control;
 mod exit;
+mod explain;
 mod lookup;
 mod note;
 mod output;
@@ -54,6 +55,7 @@
         Command::Lookup(query) => lookup::run(query, args.timeout, out).await?,
         Command::Control(command) => control::run(&connect()?, command, out).await?,
         Command::Backup(target) => control::backup(&connect()?, target, out).await?,
+        Command::Explain(explain) => explain::run(&explain, out)?,
         Command::Load(load) => return run_load(*load, out).await,
         Command::Completions { shell } => {
             let mut command = Args::command();
--- a/crates/pimento_entry/src/metrics.rs
+++ b/crates/pimento_entry/src/metrics.rs
@@ -1,42 +1,29 @@
 //! Metrics by OpenTelemetry, in Prometheus' text format.
 
 use crate::inbound::Inbound;
-use anyhow::Context;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider},
+    metrics::{Counter, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
 use pimento_core::Verdict;
-use prometheus::{Encoder, Registry, TextEncoder};
+use pimento_metrics::{BUCKETS, Exporter};
 use std::time::Duration;
 
-/// Upper bounds of the latency histogram's buckets, in seconds.
-const BUCKETS: [f64; 14] = [
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
-];
-
 /// The instruments of one process.
 ///
 /// Labels come from the rules in force (services, tenants) or closed sets
 /// (classes, verdicts), so callers can't grow them.
 #[derive(Debug)]
 pub(crate) struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     duration: Histogram<f64>,
     failures: Counter<u64>,
 }
 
 impl Metrics {
     pub(crate) fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .context("the metrics exporter can't be built")?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("pimento");
+        let exporter = Exporter::new()?;
+        let meter = exporter.meter();
         let duration = meter
             .f64_histogram("pimento_request_duration")
             .with_unit("s")
@@ -48,8 +35,7 @@
             .with_description("Failed requests by verdict")
             .build();
         Ok(Self {
-            registry,
-            _provider: provider,
+            exporter,
             duration,
             failures,
         })
@@ -72,8 +58,6 @@
 
     /// Writes all metrics as text.
     pub(crate) fn render(&self) -> anyhow::Result<Vec<u8>> {
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(text)
+        self.exporter.render()
     }
 }
--- a/crates/pimento_gateway/src/answer.rs
+++ b/crates/pimento_gateway/src/answer.rs
@@ -106,11 +106,16 @@
     Full::new(bytes.into()).map_err(never).boxed_unsync()
 }
 
-/// An answer in plain text.
-pub fn plain(status: StatusCode, text: &'static str) -> Response<ResponseBody> {
+/// An answer in plain text that was made just now.
+pub fn text(status: StatusCode, text: Vec<u8>) -> Response<ResponseBody> {
     let mut response = Response::new(full(text));
     *response.status_mut() = status;
     let kind = HeaderValue::from_static("text/plain");
     response.headers_mut().insert(CONTENT_TYPE, kind);
     response
 }
+
+/// An answer in plain text.
+pub fn plain(status: StatusCode, reason: &'static str) -> Response<ResponseBody> {
+    text(status, reason.as_bytes().to_vec())
+}
--- a/crates/pimento_gateway/src/attempt.rs
+++ b/crates/pimento_gateway/src/attempt.rs
@@ -40,6 +40,20 @@
     Timeout(bool),
 }
 
+impl Outcome {
+    /// The outcome as metrics name it.
+    pub(crate) const fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Shed => "shed",
+            Self::Replaced => "replaced",
+            Self::NotSent(_) => "not sent",
+            Self::Broken(_) => "broken",
+            Self::Timeout(_) => "timeout",
+        }
+    }
+}
+
 /// A target's answer.
 #[derive(Debug)]
 pub(crate) struct TargetAnswer {
--- a/crates/pimento_gateway/src/course.rs
+++ b/crates/pimento_gateway/src/course.rs
@@ -189,6 +189,7 @@
             deadline: plan.deadline,
             patience: plan.route.objective().mul_f64(PATIENCE),
             tried: &self.tried,
+            id: &self.inbound.id,
         };
         placing::place(self.inner, &need).await
     }
@@ -214,6 +215,7 @@
         let (outcome, signs) = attempt.send(&mut self.inbound).await;
         self.inner.sizes.note(&plan.name, &self.inbound, &outcome);
         self.load = signs.load;
+        self.inner.metrics.attempt(&plan.service, &outcome);
         permit.finish(evidence(&outcome, signs, begun.elapsed()));
         self.note(plan, id, &outcome);
         self.judge(plan, outcome, once)
@@ -295,7 +297,7 @@
             Outcome::Timeout(true) => ("the time is up", "may-have-run"),
             Outcome::Timeout(false) => ("the time is up", "not-run"),
         };
-        if let Some(dropped) = self.inner.lines.allow(true) {
+        if let Some(dropped) = self.inner.may_log(true) {
             event!(self.inner.log, Event::AttemptFailed, "id" => &self.inbound.id,
                 "service" => &*plan.service, "target" => &**target, "cause" => cause,
                 "verdict" => verdict, "revision" => self.view.catalog.revision(),
@@ -305,18 +307,22 @@
 
     fn log(&self, plan: Option<&Plan>, answer: &Answer) {
         let status = answer.status();
-        let Some(dropped) = self.inner.lines.allow(!status.is_success()) else {
+        let service = plan.map(|p| &*p.service);
+        let took = self.inbound.arrived.elapsed();
+        let metrics = &self.inner.metrics;
+        metrics.request(service, answer, took, self.waited);
+        let Some(dropped) = self.inner.may_log(!status.is_success()) else {
             return;
         };
         event!(self.inner.log, Event::RequestEnded, "id" => &self.inbound.id,
             "status" => status.as_u16(), "reason" => answer.reason(),
             "object" => self.inbound.object, "domain" => plan.and_then(|p| p.places.first()).map(|p| &*p.domain),
-            "route" => plan.map(|p| &*p.name), "service" => plan.map(|p| &*p.service),
+            "route" => plan.map(|p| &*p.name), "service" => service,
             "attempts" => self.attempts, "target" => self.tried.last().map(|t| &**t),
             "running" => self.load.map(|(running, _)| running),
             "waiting" => self.load.map(|(_, waiting)| waiting),
             "waited_ms" => self.waited.as_millis() as u64,
-            "took_ms" => self.inbound.arrived.elapsed().as_millis() as u64,
+            "took_ms" => took.as_millis() as u64,
             "revision" => self.view.catalog.revision(), "dropped" => dropped);
     }
 }
--- a/crates/pimento_gateway/src/gateway.rs
+++ b/crates/pimento_gateway/src/gateway.rs
@@ -6,6 +6,7 @@
     course::Course,
     inbound::Inbound,
     lines::Lines,
+    metrics::Metrics,
     pool::Pool,
     sizes::Sizes,
 };
@@ -63,6 +64,7 @@
     pub shared: Shared,
     pub log: Logger,
     pub lines: Lines,
+    pub metrics: Metrics,
     pub clock: Clock,
     pub pool: Rc<Pool>,
     pub budgets: Budgets,
@@ -74,12 +76,16 @@
 
 impl Gateway {
     /// A gateway that decides by a view and has places granted by a fleet.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error if the metrics can't be set up.
     pub fn new(
         config: GatewayConfig,
         fleet: Addr<FleetActor>,
         shared: Shared,
         log: Logger,
-    ) -> Self {
+    ) -> anyhow::Result<Self> {
         let repeats = Repeats {
             ratio: config.repeat_ratio,
             slack: config.repeat_slack,
@@ -92,6 +98,7 @@
             shared,
             log,
             lines: Lines::default(),
+            metrics: Metrics::new()?,
             clock: Clock::start(),
             pool: Rc::default(),
             budgets: Budgets::default(),
@@ -106,7 +113,16 @@
                 pool.sweep();
             }
         });
-        Self(inner)
+        Ok(Self(inner))
+    }
+
+    /// Writes all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error if a metric can't be written.
+    pub fn metrics(&self) -> anyhow::Result<Vec<u8>> {
+        self.0.metrics.render()
     }
 
     /// What callers may send, by the limits in force.
@@ -127,7 +143,7 @@
         match inbound {
             Ok(inbound) => Course::new(&self.0, view, inbound).run().await,
             Err(answer) => {
-                if let Some(dropped) = self.0.lines.allow(true) {
+                if let Some(dropped) = self.0.may_log(true) {
                     event!(self.0.log, Event::RequestFailed, "reason" => answer.reason(),
                         "status" => answer.status().as_u16(), "dropped" => dropped);
                 }
@@ -139,6 +155,14 @@
 }
 
 impl Inner {
+    /// Whether a line about a request may be written; the lines that were not
+    /// written before it, if so.
+    pub(crate) fn may_log(&self, failure: bool) -> Option<u64> {
+        let dropped = self.lines.allow(failure)?;
+        self.metrics.dropped(dropped);
+        Some(dropped)
+    }
+
     /// A number that was never used before.
     pub(crate) fn next_serial(&self) -> u64 {
         let serial = self.serial.get();
--- a/crates/pimento_gateway/src/lib.rs
+++ b/crates/pimento_gateway/src/lib.rs
@@ -18,13 +18,14 @@
 mod headers;
 mod inbound;
 mod lines;
+mod metrics;
 mod placing;
 mod pool;
 mod sizes;
 mod stop;
 
 pub use accept::{Idle, serve};
-pub use answer::{Answer, BoxError, ResponseBody, plain};
+pub use answer::{Answer, BoxError, ResponseBody, plain, text};
 pub use dialect::Dialect;
 pub use gateway::{Gateway, GatewayConfig};
 pub use stop::Stop;
--- a/crates/pimento_gateway/src/placing.rs
+++ b/crates/pimento_gateway/src/placing.rs
@@ -3,6 +3,7 @@
 use crate::gateway::Inner;
 use pimento_broker::{Ending, Place};
 use pimento_fleet::{Acquire, Evidence, Refused, Release, Verdict};
+use pimento_log::{Event, event};
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
@@ -50,6 +51,8 @@
     pub deadline: Instant,
     pub patience: Duration,
     pub tried: &'a [Arc<str>],
+    /// The request's id, for logs.
+    pub id: &'a str,
 }
 
 /// Why a request gets no place.
@@ -74,6 +77,9 @@
             // Another VM grants in its stead.
             verdict = ask(inner, need, place, home).await;
         }
+        if let Err(refused) = &verdict {
+            note(inner, need, place, *refused);
+        }
         match verdict {
             Ok(granted) => return Ok(granted),
             Err(Refused::Full(wait)) => refusal = sooner(refusal, wait),
@@ -86,6 +92,20 @@
     Err(refusal)
 }
 
+/// Logs that a failure domain granted no place.
+fn note(inner: &Inner, need: &Need<'_>, place: &Place, refused: Refused) {
+    let (cause, wait) = match refused {
+        Refused::Full(wait) => ("all places are taken", Some(wait)),
+        Refused::Unusable => ("no target can be used", None),
+        Refused::Unreachable => ("the granting VM did not answer", None),
+    };
+    if let Some(dropped) = inner.may_log(true) {
+        event!(inner.log, Event::PlaceRefused, "id" => need.id, "service" => &**need.service,
+            "domain" => &*place.domain, "places" => place.slots, "cause" => cause,
+            "wait_ms" => wait.map(|w| w.as_millis() as u64), "dropped" => dropped);
+    }
+}
+
 const fn sooner(refusal: NoPlace, wait: Duration) -> NoPlace {
     match refusal {
         NoPlace::Full(other) if other.as_nanos() < wait.as_nanos() => refusal,
--- a/crates/pimento_gateway/tests/support/mod.rs
+++ b/crates/pimento_gateway/tests/support/mod.rs
@@ -193,7 +193,7 @@
             repeat_window: Duration::from_secs(10),
         };
         let log = pimento_log::discard();
-        let gateway = Gateway::new(config, entry.clone(), Arc::clone(&shared), log);
+        let gateway = Gateway::new(config, entry.clone(), Arc::clone(&shared), log).unwrap();
         let stop = Stop::default();
         let address = free_tcp();
         let idle = gateway.clone();
--- a/crates/pimento_log/src/event.rs
+++ b/crates/pimento_log/src/event.rs
@@ -82,6 +82,8 @@
     TargetReported = 505, Info, "target report";
     /// A caller could not be told where to go.
     LookupFailed = 506, Warning, "look-up failed";
+    /// A failure domain granted a request no place.
+    PlaceRefused = 507, Info, "place refused";
     /// This control VM became leader.
     LeaderElected = 601, Info, "elected leader";
     /// This control VM is no longer leader.
--- /dev/null
+++ b/crates/pimento_metrics/src/lib.rs
@@ -0,0 +1,51 @@
+//! Metrics by OpenTelemetry, in Prometheus' text format.
+
+use anyhow::Context;
+use opentelemetry::metrics::{Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Upper bounds of the buckets of latency histograms, in seconds.
+pub const BUCKETS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// The instruments of one process and their text.
+#[derive(Debug)]
+pub struct Exporter {
+    registry: Registry,
+    provider: SdkMeterProvider,
+}
+
+impl Exporter {
+    /// An exporter without instruments.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error if the exporter can't be built.
+    pub fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .context("the metrics exporter can't be built")?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Self { registry, provider })
+    }
+
+    /// What instruments are made by.
+    pub fn meter(&self) -> Meter {
+        self.provider.meter("pimento")
+    }
+
+    /// Writes all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error if a metric can't be written.
+    pub fn render(&self) -> anyhow::Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
