--- a/crates/pimento_broker/tests/support/mod.rs
+++ b/crates/pimento_broker/tests/support/mod.rs
@@ -306,14 +306,8 @@
 }
 
 /// Callers of a domain that is a region of its own.
-pub fn origin(domain: &str, domains: usize) -> Origin<'_> {
-    Origin {
-        domain,
-        region: domain,
-        domains,
-        regions: domains,
-        large: false,
-    }
+pub const fn origin(region: &str, regions: usize) -> Origin<'_> {
+    Origin { region, regions }
 }
 
 pub fn place(domain: usize, targets: usize, slots: u32) -> Place {
--- a/crates/pimento_gateway/src/course.rs
+++ b/crates/pimento_gateway/src/course.rs
@@ -22,9 +22,6 @@
 /// The part of the objective within which a request may wait and then be
 /// refused.
 const PATIENCE: f64 = 0.1;
-/// The mean size of a route's requests and answers, in bytes, from which on
-/// they stay in their failure domain if that has places enough.
-const LARGE: f64 = 1e12;
 /// The wait that is named when no target can be used.
 const UNUSABLE: Duration = Duration::from_millis(500);
 /// The range by which waits are spread, so that callers don't return together.
@@ -122,11 +119,8 @@
         let allowed: Vec<Place> = known.filter(|p| route.allows(&p.region)).cloned().collect();
         let config = &self.inner.config;
         let origin = Origin {
-            domain: &config.domain,
             region: &config.region,
-            domains: config.domains,
             regions: config.regions,
-            large: self.inner.sizes.mean(name) >= LARGE,
         };
         let places = order(&allowed, origin, lot);
         let limit = self.inbound.patience.unwrap_or_else(|| route.timeout());
@@ -213,7 +207,6 @@
         };
         let begun = Instant::now();
         let (outcome, signs) = attempt.send(&mut self.inbound).await;
-        self.inner.sizes.note(&plan.name, &self.inbound, &outcome);
         self.load = signs.load;
         self.inner.metrics.attempt(&plan.service, &outcome);
         permit.finish(evidence(&outcome, signs, begun.elapsed()));
--- a/crates/pimento_gateway/src/gateway.rs
+++ b/crates/pimento_gateway/src/gateway.rs
@@ -8,7 +8,6 @@
     lines::Lines,
     metrics::Metrics,
     pool::Pool,
-    sizes::Sizes,
 };
 use actix::Addr;
 use hyper::{Request, Response, body::Incoming};
@@ -35,12 +34,8 @@
 pub struct GatewayConfig {
     /// The names of headers.
     pub dialect: Dialect,
-    /// The failure domain of this VM.
-    pub domain: Arc<str>,
-    /// Its region.
+    /// The region of this VM.
     pub region: Arc<str>,
-    /// The number of failure domains.
-    pub domains: usize,
     /// The number of regions.
     pub regions: usize,
     /// What all VMs together may repeat: for each request, and beyond that
@@ -70,7 +65,6 @@
     pub budgets: Budgets,
     /// How the routes with several services are divided, by name.
     pub splits: RefCell<Vec<(Arc<str>, Split)>>,
-    pub sizes: Sizes,
     pub serial: Cell<u64>,
 }
 
@@ -103,7 +97,6 @@
             pool: Rc::default(),
             budgets: Budgets::default(),
             splits: RefCell::default(),
-            sizes: Sizes::default(),
             serial: Cell::new(1),
         });
         let pool = Rc::clone(&inner.pool);
--- a/crates/pimento_gateway/src/lib.rs
+++ b/crates/pimento_gateway/src/lib.rs
@@ -21,7 +21,6 @@
 mod metrics;
 mod placing;
 mod pool;
-mod sizes;
 mod stop;
 
 pub use accept::{Idle, serve};
--- a/crates/pimento_gateway/tests/support/mod.rs
+++ b/crates/pimento_gateway/tests/support/mod.rs
@@ -184,9 +184,7 @@
         let entry = fleet(Role::Entry, entry_at, control_at, &shared);
         let config = GatewayConfig {
             dialect: dialect(),
-            domain: "d".into(),
             region: "r".into(),
-            domains: 1,
             regions: 1,
             repeat_ratio: 0.2,
             repeat_slack: 100.0,
