--- a/crates/pimento_fleet/src/granting.rs
+++ b/crates/pimento_fleet/src/granting.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Acquire, Effect, Fleet, Node, Refused, Role, Verdict,
-    fleet::send,
+    fleet::{HeldPlace, send},
     message::{AskMessage, Body, Done, DonePlace, VerdictKind, VerdictMessage},
 };
 use pimento_broker::{Ask, AskId, Effect as Decision, Ending, Report, Wait};
@@ -32,11 +32,11 @@
         if let Some(pending) = self.asks.take(serial) {
             return vec![self.give_back(pending.to, done_place(serial, report))];
         }
-        let Some(at) = self.holders.iter().position(|(s, _)| *s == serial) else {
+        let Some(at) = self.held.iter().position(|p| p.serial == serial) else {
             let process = self.config.me.process;
             return self.finish(now, AskId { process, serial }, report);
         };
-        if let Some(to) = self.holders.swap_remove(at).1 {
+        if let Some(to) = self.held.swap_remove(at).granter {
             return vec![self.give_back(to, done_place(serial, report))];
         }
         let process = self.config.me.process;
@@ -103,7 +103,10 @@
         }
         let verdict = match kind {
             VerdictKind::Grant(target) => {
-                self.holders.push((serial, Some(from)));
+                self.held.push(HeldPlace {
+                    serial,
+                    granter: Some(from),
+                });
                 Verdict::Grant(Arc::from(target))
             }
             VerdictKind::Refuse(ms) => Verdict::Refuse(Refused::Full(Duration::from_millis(ms))),
@@ -114,7 +117,7 @@
 
     /// Gives back a place that nobody waits for any more.
     fn decline(&mut self, from: SocketAddr, serial: u64, kind: &VerdictKind) -> Vec<Effect> {
-        let held = self.holders.iter().any(|(s, _)| *s == serial);
+        let held = self.held.iter().any(|p| p.serial == serial);
         if held || !matches!(kind, VerdictKind::Grant(_)) {
             return Vec::new();
         }
@@ -168,7 +171,10 @@
     fn own_decision(&mut self, serial: u64, decision: Decision) -> Effect {
         let verdict = match decision {
             Decision::Grant { target, .. } => {
-                self.holders.push((serial, None));
+                self.held.push(HeldPlace {
+                    serial,
+                    granter: None,
+                });
                 Verdict::Grant(target)
             }
             Decision::Refuse { wait, .. } => Verdict::Refuse(match wait {
--- a/crates/pimento_fleet/src/lib.rs
+++ b/crates/pimento_fleet/src/lib.rs
@@ -7,16 +7,19 @@
 
 mod actor;
 mod asks;
+mod beats;
 mod config;
 mod effect;
 mod fleet;
 mod granting;
 mod members;
 mod message;
+mod news;
 mod parts;
 mod receive;
 mod spread;
 mod view;
+mod viewing;
 
 pub use actor::{Acquire, Evidence, FleetActor, GetEntries, GetNodes, Release, Report, SetCatalog};
 pub use actor::{SetStage, StartError};
--- a/crates/pimento_fleet/src/members.rs
+++ b/crates/pimento_fleet/src/members.rs
@@ -7,6 +7,17 @@
 /// How long a process is remembered after it was heard or named last.
 const MEMORY: Duration = Duration::from_secs(20);
 
+/// Items that were sent to a process.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sent {
+    /// The revision that it had.
+    pub from: u64,
+    /// The revision that it then has.
+    pub to: u64,
+    /// When they were sent.
+    pub at: Time,
+}
+
 /// A process.
 #[derive(Clone, Debug)]
 pub struct Node {
@@ -23,8 +34,8 @@
     pub revision: u64,
     /// When it got there.
     pub reached: Time,
-    /// The items last sent to it, by the revisions that they lead from and to.
-    pub sent: Option<((u64, u64), Time)>,
+    /// The items last sent to it.
+    pub(crate) sent: Option<Sent>,
     /// When it last asked this VM for what it lacks.
     pub follows: Option<Time>,
 }
