--- a/crates/pimento_fleet/src/actor.rs
+++ b/crates/pimento_fleet/src/actor.rs
@@ -1,7 +1,7 @@
 //! The actor that carries datagrams and time to and from the core.
 
 use crate::{
-    Effect, Fleet, FleetConfig, Node, Refused, Shared, Stage, Verdict, effect::Outgoing,
+    Effect, Fleet, FleetConfig, Refused, Shared, Stage, Verdict, effect::Outgoing,
     message::AskMessage,
 };
 use actix::prelude::*;
@@ -368,16 +368,3 @@
         MessageResult(self.fleet.entries(self.now(), &msg.0))
     }
 }
-
-/// Asks for the processes that this one knows of.
-#[derive(Debug, Message)]
-#[rtype(result = "Vec<Node>")]
-pub struct GetNodes;
-
-impl Handler<GetNodes> for FleetActor {
-    type Result = MessageResult<GetNodes>;
-
-    fn handle(&mut self, _: GetNodes, _: &mut Context<Self>) -> Self::Result {
-        MessageResult(self.fleet.nodes(self.now()))
-    }
-}
--- a/crates/pimento_fleet/src/asks.rs
+++ b/crates/pimento_fleet/src/asks.rs
@@ -68,10 +68,6 @@
         }
         (again, given_up)
     }
-
-    pub(crate) fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
 }
 
 impl Pending {
--- a/crates/pimento_fleet/src/config.rs
+++ b/crates/pimento_fleet/src/config.rs
@@ -24,12 +24,4 @@
             .binary_search_by(|(name, _)| (**name).cmp(domain));
         found.ok().map(|i| &self.regions[i].1)
     }
-
-    /// The number of regions.
-    pub fn region_count(&self) -> usize {
-        let mut names: Vec<_> = self.regions.iter().map(|(_, region)| region).collect();
-        names.sort();
-        names.dedup();
-        names.len()
-    }
 }
--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -116,11 +116,6 @@
         effects
     }
 
-    /// Whether something is under way that time must pass for.
-    pub fn is_busy(&self) -> bool {
-        self.broker.is_waiting() || !self.asks.is_empty() || !self.spread.is_empty()
-    }
-
     /// The processes that were heard lately.
     pub(crate) fn alive(&self, now: Time) -> impl Iterator<Item = &crate::Node> {
         self.members.heard(now, self.config.lost)
--- a/crates/pimento_fleet/src/lib.rs
+++ b/crates/pimento_fleet/src/lib.rs
@@ -21,7 +21,7 @@
 mod view;
 mod viewing;
 
-pub use actor::{Acquire, Evidence, FleetActor, GetEntries, GetNodes, Release, Report, SetCatalog};
+pub use actor::{Acquire, Evidence, FleetActor, GetEntries, Release, Report, SetCatalog};
 pub use actor::{SetStage, StartError};
 pub use config::FleetConfig;
 pub use effect::{Effect, Outgoing, Refused, Verdict};
--- a/crates/pimento_fleet/src/spread.rs
+++ b/crates/pimento_fleet/src/spread.rs
@@ -116,8 +116,4 @@
         }
         sent
     }
-
-    pub(crate) fn is_empty(&self) -> bool {
-        self.news.is_empty()
-    }
 }
