Answer a request that asks to upgrade its connection

Cause: the HTTP library offers the rest of such a connection as the request's body, which never ends; the caller got no answer (8 s watched). Change: a request with neither length nor encoding has no body. pimento_entry::path::upgrade_ignored fails without the change.

--- a/crates/pimento_entry/src/body.rs
+++ b/crates/pimento_entry/src/body.rs
@@ -75,6 +75,11 @@
         return Err(too_large(limits.size));
     }
     let chunked = head.contains_key("transfer-encoding");
+    if length.is_none() && !chunked {
+        // There is no body. The library may still offer the rest of the
+        // connection as one, if the caller asked to upgrade it.
+        return Ok(Body::Held(Bytes::new()));
+    }
     let short = length.map_or(!chunked, |length| length <= HELD);
     if whole || short {
         return Ok(Body::Held(read(payload, limits).await?));
--- a/crates/pimento_entry/tests/path.rs
+++ b/crates/pimento_entry/tests/path.rs
@@ -123,3 +123,21 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert_eq!(target.counters().cancelled, 1);
 }
+
+/// A wish to upgrade the connection is not passed on, and the request is
+/// answered as if it weren't there.
+#[actix_rt::test]
+async fn upgrade_ignored() {
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    let vm = Vm::start(NOTE).await;
+    let _target = vm.target("shifts", |_| {}).await;
+    let mut caller = tokio::net::TcpStream::connect(vm.callers()).await.unwrap();
+    let request = "GET /s/shifts/list?nonce=day1 HTTP/1.1\r\nHost: a\r\n\
+        Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n";
+    caller.write_all(request.as_bytes()).await.unwrap();
+    let mut head = [0; 12];
+    let read = caller.read_exact(&mut head);
+    let read = actix_rt::time::timeout(Duration::from_secs(3), read).await;
+    read.expect("an answer in time").unwrap();
+    assert_eq!(&head, b"HTTP/1.1 200");
+}
