Tell a drain to all VMs once, not at each report

Cause: each report of a draining target at another control VM was told to all VMs again; on the grown sites hundreds of targets are replaced at a time.

--- a/crates/pimento_fleet/src/message.rs
+++ b/crates/pimento_fleet/src/message.rs
@@ -61,7 +61,7 @@
 /// A message.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Message {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub body: Option<Body>,
 }
 
@@ -107,6 +107,9 @@
     /// The receiver of an [`Alive`] doesn't know the process.
     #[prost(bool, tag = "13")]
     Unknown(bool),
+    /// This state of a target is known wherever it must be.
+    #[prost(message, tag = "14")]
+    Settled(Target),
 }
 
 /// A process lives, told to control VMs that it doesn't follow.
--- a/crates/pimento_fleet/src/news.rs
+++ b/crates/pimento_fleet/src/news.rs
@@ -132,16 +132,19 @@
         });
     }
 
-    /// Tells of news that are known wherever they must be.
+    /// Tells of news that are known wherever they must be, also the other
+    /// control VMs, which a target may ask next.
     pub(crate) fn settle_news(&mut self) -> Vec<Effect> {
-        let known = self.spread.known();
-        known
-            .into_iter()
-            .map(|(ticket, target)| {
-                self.confirm(&target);
-                Effect::Known { ticket }
-            })
-            .collect()
+        let mut effects = Vec::new();
+        for (ticket, target) in self.spread.known() {
+            effects.push(Effect::Known { ticket });
+            if target.stage > Stage::Ready as i32 {
+                let settled = Body::Settled(target.clone());
+                effects.extend(self.controls().map(|to| send(to, settled.clone())));
+            }
+            self.confirm(&target);
+        }
+        effects
     }
 
     pub(crate) fn confirm(&mut self, target: &Target) {
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -41,6 +41,11 @@
                 self.spread.heard(&from, number);
                 self.settle_news()
             }
+            Body::Settled(target) => {
+                let effects = self.take_targets(now, std::slice::from_ref(&target));
+                self.confirm(&target);
+                effects
+            }
             Body::Ask(ask) => self.asked(now, from, &ask),
             Body::Verdict(verdict) => self.decided(now, from, verdict),
             Body::Done(done) => self.returned(now, &done),
--- a/crates/pimento_fleet/tests/draining.rs
+++ b/crates/pimento_fleet/tests/draining.rs
@@ -108,3 +108,17 @@
     world.run(2 * SECOND);
     assert_eq!(entries_with(&world), 0);
 }
+
+/// While it drains a target goes on reporting, to any control VM: it isn't told
+/// to all VMs each time.
+#[test]
+fn spread_once() {
+    let mut world = settled(1);
+    let ticket = world.report(0, &target("t", Stage::Draining, 2)).unwrap();
+    assert!(world.until(SECOND, |w| w.processes[0].known.contains(&ticket)));
+    world.run(SECOND / 10);
+    for i in world.of(Role::Control) {
+        let seq = 3 + i as u64;
+        assert_eq!(world.report(i, &target("t", Stage::Draining, seq)), None);
+    }
+}
