--- a/crates/pimento_control/src/actor.rs
+++ b/crates/pimento_control/src/actor.rs
@@ -72,6 +72,15 @@
     },
 }
 
+impl Group {
+    /// A group that acknowledges only what outlives the loss of some disks at
+    /// a time: a majority of the voters without them holds it.
+    pub const fn open(found: bool, tolerated: usize) -> Self {
+        let voters = 2 * tolerated + 1;
+        Self::Open { found, voters }
+    }
+}
+
 /// The replica of one control VM.
 #[derive(Debug)]
 pub struct Control {
--- a/crates/pimento_fleet/src/config.rs
+++ b/crates/pimento_fleet/src/config.rs
@@ -17,6 +17,13 @@
 }
 
 impl FleetConfig {
+    /// Three signs of life and some time for the last one to arrive.
+    pub const LOST: Duration = Duration::from_millis(1_700);
+
+    /// How long callers may use the list of entry VMs that they are told: a VM
+    /// that stops is still used for so long.
+    pub const TTL: Duration = Duration::from_secs(2);
+
     /// The region of a failure domain.
     pub fn region(&self, domain: &str) -> Option<&Arc<str>> {
         let found = self
--- a/crates/pimento_gateway/src/stop.rs
+++ b/crates/pimento_gateway/src/stop.rs
@@ -1,7 +1,18 @@
 //! The graceful stop of all connections.
 
-use std::{cell::Cell, rc::Rc};
-use tokio::sync::watch;
+use std::{cell::Cell, rc::Rc, time::Duration};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
+
+/// The part of the grace period for which requests are still taken: callers
+/// learn from the directory that the VM stops, some of them late.
+const TAKING: f64 = 0.75;
+/// The part of the grace period after which the process ends.
+const ENDING: f64 = 0.95;
+/// How often a stopping process looks whether it is done.
+const LOOK: Duration = Duration::from_millis(100);
 
 /// How far a graceful stop has come.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -59,6 +70,20 @@
         self.busy.get()
     }
 
+    /// Serves requests that are on their way, lets connections end, and returns
+    /// within a grace period.
+    pub async fn drain(&self, grace: Duration) {
+        let begun = Instant::now();
+        self.begin();
+        while begun.elapsed() < grace.mul_f64(TAKING) {
+            sleep(LOOK).await;
+        }
+        self.finish();
+        while self.busy() > 0 && begun.elapsed() < grace.mul_f64(ENDING) {
+            sleep(LOOK).await;
+        }
+    }
+
     /// Waits until connections without a request must close.
     pub(crate) async fn wait(&self) {
         let mut receiver = self.phase.subscribe();
