Match the broker's old and new targets in one pass; one cancelled report

Both lists are sorted, so one pass does. The report of a cancelled request stood three times, and giving a place back had its ending twice.

--- a/crates/pimento_broker/src/ask.rs
+++ b/crates/pimento_broker/src/ask.rs
@@ -96,3 +96,13 @@
     /// How long the target stays cold, if it said so.
     pub cold: Option<Duration>,
 }
+
+impl Report {
+    /// Nothing is known but that the place is not used any more.
+    pub const CANCELLED: Self = Self {
+        ending: Ending::Cancelled,
+        took: Duration::ZERO,
+        load: None,
+        cold: None,
+    };
+}
--- a/crates/pimento_broker/src/broker.rs
+++ b/crates/pimento_broker/src/broker.rs
@@ -85,12 +85,13 @@
     /// Takes what is known of all targets; others are dropped.
     pub fn set_targets(&mut self, now: Time, mut views: Vec<TargetView>) -> Vec<Effect> {
         views.sort_by(|a, b| a.id.cmp(&b.id));
-        let mut old = std::mem::take(&mut self.targets);
+        // Both lists are sorted, so one pass over each finds what was known.
+        let mut old = std::mem::take(&mut self.targets).into_iter().peekable();
         for view in views {
+            while old.next_if(|t| t.view.id < view.id).is_some() {}
             let same = |t: &Target| t.view.id == view.id && t.view.seed == view.seed;
-            let target = match old.iter().position(same) {
-                Some(i) => {
-                    let mut target = old.swap_remove(i);
+            let target = match old.next_if(same) {
+                Some(mut target) => {
                     target.set(view);
                     target
                 }
@@ -144,15 +145,9 @@
 
     /// Lets time pass: gives up what is overdue and serves who waits.
     pub fn tick(&mut self, now: Time) -> Vec<Effect> {
-        let lost = Report {
-            ending: crate::Ending::Cancelled,
-            took: Duration::ZERO,
-            load: None,
-            cold: None,
-        };
         let overdue: Vec<Place> = self.places.extract_if(.., |p| p.until <= now).collect();
         for place in &overdue {
-            self.release(now, place, &lost);
+            self.release(now, place, &Report::CANCELLED);
         }
         let mut effects = self.serve_queue(now);
         effects.extend(self.expire(now));
--- a/crates/pimento_fleet/src/granting.rs
+++ b/crates/pimento_fleet/src/granting.rs
@@ -32,11 +32,9 @@
         if let Some(pending) = self.asks.take(serial) {
             return vec![self.give_back(pending.to, done_place(serial, report))];
         }
-        let Some(at) = self.held.iter().position(|p| p.serial == serial) else {
-            let process = self.config.me.process;
-            return self.finish(now, AskId { process, serial }, report);
-        };
-        if let Some(to) = self.held.swap_remove(at).granter {
+        let held = self.held.iter().position(|p| p.serial == serial);
+        let granter = held.and_then(|at| self.held.swap_remove(at).granter);
+        if let Some(to) = granter {
             return vec![self.give_back(to, done_place(serial, report))];
         }
         let process = self.config.me.process;
@@ -56,7 +54,7 @@
                 effects.push(Effect::Suspected(pending.to));
             }
             let serial = pending.ask.serial;
-            let cancelled = done_place(serial, &cancelled());
+            let cancelled = done_place(serial, &Report::CANCELLED);
             effects.push(self.give_back(pending.to, cancelled));
             let verdict = Verdict::Refuse(Refused::Unreachable);
             effects.push(Effect::Decided { serial, verdict });
@@ -121,7 +119,7 @@
         if held || !matches!(kind, VerdictKind::Grant(_)) {
             return Vec::new();
         }
-        let cancelled = done_place(serial, &cancelled());
+        let cancelled = done_place(serial, &Report::CANCELLED);
         vec![self.give_back(from, cancelled)]
     }
 
@@ -282,15 +280,6 @@
     }
 }
 
-const fn cancelled() -> Report {
-    Report {
-        ending: Ending::Cancelled,
-        took: Duration::ZERO,
-        load: None,
-        cold: None,
-    }
-}
-
 /// The endings as numbers in messages.
 const ENDINGS: [Ending; 7] = [
     Ending::Answered,
--- a/crates/pimento_fleet/src/news.rs
+++ b/crates/pimento_fleet/src/news.rs
@@ -35,11 +35,11 @@
     pub fn set_catalog(&mut self, now: Time, catalog: Arc<Catalog>) -> Vec<Effect> {
         self.catalog = catalog;
         self.changed = now;
-        let effects: Vec<_> = self
+        let followers: Vec<_> = self
             .followers(now)
             .map(|n| (n.address, n.revision))
             .collect();
-        let mut effects: Vec<_> = effects
+        let mut effects: Vec<_> = followers
             .into_iter()
             .filter_map(|(to, revision)| self.items_for(now, to, revision))
             .collect();
--- a/crates/pimento_gateway/src/placing.rs
+++ b/crates/pimento_gateway/src/placing.rs
@@ -1,7 +1,7 @@
 //! Getting a place on a target.
 
 use crate::gateway::Inner;
-use pimento_broker::{Ending, Place};
+use pimento_broker::Place;
 use pimento_fleet::{Acquire, Evidence, Refused, Release, Verdict};
 use pimento_log::{Event, event};
 use std::{rc::Rc, sync::Arc, time::Duration};
@@ -27,15 +27,9 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let cancelled = Evidence {
-            ending: Ending::Cancelled,
-            took: Duration::ZERO,
-            load: None,
-            cold: None,
-        };
         self.inner.fleet.do_send(Release {
             serial: self.serial,
-            report: self.report.take().unwrap_or(cancelled),
+            report: self.report.take().unwrap_or(Evidence::CANCELLED),
         });
     }
 }
