--- a/crates/pimento_broker/src/lib.rs
+++ b/crates/pimento_broker/src/lib.rs
@@ -11,10 +11,12 @@
 mod budget;
 mod order;
 mod pace;
+mod pool;
 mod queue;
 mod target;
 
 pub use ask::{Ask, AskId, Effect, Ending, Report, Wait};
-pub use broker::{Broker, TargetView};
+pub use broker::Broker;
 pub use budget::Budget;
 pub use order::{Origin, Place, order};
+pub use target::TargetView;
--- /dev/null
+++ b/crates/pimento_broker/src/pool.rs
@@ -0,0 +1,291 @@
+//! The targets of a service in a failure domain, and who waits for them.
+
+use crate::{
+    Ask, Effect, Ending, Report, Wait,
+    pace::Pace,
+    queue::{Queue, Waiting},
+    target::{Target, TargetView},
+};
+use pimento_core::Time;
+use std::{sync::Arc, time::Duration};
+
+/// How much longer a run on a target that doesn't know its object must take so
+/// that it makes a difference.
+const SLOWER: f64 = 1.3;
+
+/// The part of the places up to which a failure domain takes requests whose
+/// objects belong to another one.
+const ROOM: f64 = 0.5;
+
+/// The run time that is assumed before any was seen.
+const FIRST_PACE: Duration = Duration::from_millis(300);
+
+/// The targets of a service in a failure domain, and who waits for them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pool {
+    /// Sorted by name.
+    targets: Vec<Target>,
+    queue: Queue,
+    /// Run times on targets that had seen the object, and on the others.
+    warm: Pace,
+    fresh: Pace,
+    all: Pace,
+}
+
+/// A place that a request has just got.
+#[derive(Clone, Debug)]
+pub(crate) struct Granted {
+    pub ask: Ask,
+    pub target: Arc<str>,
+    /// The number of the target's lifetime.
+    pub seed: u64,
+    /// Whether the target had seen the object.
+    pub warm: bool,
+}
+
+/// What becomes of a request that has just come.
+#[derive(Debug)]
+pub(crate) enum Entry {
+    Granted(Granted),
+    Waits,
+    Refused(Effect),
+}
+
+impl Pool {
+    /// Takes what is known of a target.
+    pub(crate) fn set(&mut self, view: TargetView) {
+        match self.find(&view.id) {
+            Ok(at) if self.targets[at].view.seed == view.seed => self.targets[at].set(view),
+            Ok(at) => self.targets[at] = Target::new(view),
+            Err(at) => self.targets.insert(at, Target::new(view)),
+        }
+    }
+
+    /// Drops targets.
+    pub(crate) fn retain(&mut self, keep: impl Fn(&TargetView) -> bool) {
+        self.targets.retain(|t| keep(&t.view));
+    }
+
+    /// Drops a target, if it is here.
+    pub(crate) fn remove(&mut self, id: &str) -> bool {
+        let found = self.find(id);
+        if let Ok(at) = found {
+            self.targets.remove(at);
+        }
+        found.is_ok()
+    }
+
+    /// The places taken on a target, if it is here.
+    pub(crate) fn running(&self, id: &str) -> Option<u32> {
+        self.find(id).ok().map(|at| self.targets[at].running)
+    }
+
+    /// The number of requests that wait.
+    pub(crate) const fn waiting(&self) -> usize {
+        self.queue.0.len()
+    }
+
+    /// Takes a request.
+    pub(crate) fn submit(&mut self, now: Time, ask: Ask) -> Entry {
+        let pace = self.pace(&ask);
+        if !ask.home && !self.has_room(&ask) {
+            let wait = Wait::For(pace);
+            return Entry::Refused(Effect::Refuse { id: ask.id, wait });
+        }
+        let waiting = Waiting {
+            start_by: ask.objective - pace,
+            latest: ask.deadline,
+            ask,
+        };
+        let ahead = self.queue.ahead(now, &waiting);
+        if ahead == 0
+            && let Some(at) = self.choose(now, &waiting)
+        {
+            return Entry::Granted(self.grant(now, at, waiting.ask));
+        }
+        self.wait_or_refuse(now, waiting, ahead)
+    }
+
+    /// Whether a request waits here.
+    pub(crate) fn holds(&self, id: &crate::AskId) -> bool {
+        self.queue.0.iter().any(|w| w.ask.id == *id)
+    }
+
+    /// Forgets a request that waits; whether it did.
+    pub(crate) fn withdraw(&mut self, id: &crate::AskId) -> bool {
+        let before = self.queue.0.len();
+        self.queue.0.retain(|w| w.ask.id != *id);
+        self.queue.0.len() != before
+    }
+
+    /// Takes a place back.
+    pub(crate) fn release(&mut self, now: Time, granted: (&str, u64, bool), report: &Report) {
+        let (id, seed, warm) = granted;
+        let Ok(at) = self.find(id) else {
+            return;
+        };
+        if self.targets[at].view.seed != seed {
+            return;
+        }
+        let like = if warm {
+            &mut self.warm
+        } else {
+            &mut self.fresh
+        };
+        let before = like.secs();
+        if report.ending == Ending::Answered {
+            like.note(report.took);
+            self.all.note(report.took);
+        }
+        self.targets[at].end(now, report, before);
+    }
+
+    /// Gives free places to those who wait, in turn.
+    pub(crate) fn serve_queue(&mut self, now: Time) -> Vec<Granted> {
+        if self.queue.0.is_empty() {
+            return Vec::new();
+        }
+        let mut order: Vec<usize> = (0..self.queue.0.len()).collect();
+        order.sort_by_key(|i| self.queue.0[*i].turn(now));
+        let mut served = Vec::new();
+        for i in order {
+            let waiting = &self.queue.0[i];
+            if let Some(at) = self.choose(now, waiting) {
+                let ask = waiting.ask.clone();
+                served.push(self.grant(now, at, ask));
+            }
+        }
+        let got = |w: &Waiting| served.iter().any(|g| g.ask.id == w.ask.id);
+        self.queue.0.retain(|w| !got(w));
+        served
+    }
+
+    /// Refuses requests that can't start in time any more, so that their
+    /// callers learn it while they can still come back.
+    pub(crate) fn expire(&mut self, now: Time) -> Vec<Effect> {
+        let overdue = |w: &mut Waiting| now > w.latest;
+        let expired = self.queue.0.extract_if(.., overdue);
+        let refused = expired.map(|w| Effect::Refuse {
+            id: w.ask.id,
+            wait: Wait::For(w.ask.patience),
+        });
+        refused.collect()
+    }
+
+    fn find(&self, id: &str) -> Result<usize, usize> {
+        self.targets.binary_search_by(|t| (*t.view.id).cmp(id))
+    }
+
+    /// The targets that a request may run on at some time.
+    fn candidates<'a>(&'a self, ask: &'a Ask) -> impl Iterator<Item = (usize, &'a Target)> {
+        let targets = self.targets.iter().enumerate();
+        targets.filter(move |(_, t)| t.open() && !ask.tried.contains(&t.view.id))
+    }
+
+    /// The best target that is free for a request.
+    ///
+    /// The load that it answers: objects that come again, on targets that
+    /// answer several times faster what they have seen. Running elsewhere takes
+    /// more places than waiting for the target that knows the object, and is
+    /// too late for the objective anyway; so the request waits while that is
+    /// soon free.
+    fn choose(&self, now: Time, waiting: &Waiting) -> Option<usize> {
+        let ask = &waiting.ask;
+        let free = self.candidates(ask).filter(|(_, t)| t.free(now));
+        let best = free.max_by_key(|(_, t)| t.fitness(now, ask.object));
+        let (at, target) = best?;
+        let warm = target.fitness(now, ask.object).warm;
+        (warm || !self.worth_waiting(now, waiting)).then_some(at)
+    }
+
+    /// Whether a request whose object belongs to another failure domain may run
+    /// here.
+    ///
+    /// The load that it answers: a peak at which requests are turned away
+    /// where their objects are known. Each of them would run several times as
+    /// long here, and push out what the targets here know.
+    fn has_room(&self, ask: &Ask) -> bool {
+        let Some(object) = ask.object else {
+            return true;
+        };
+        let (warm, fresh) = (self.warm.mean(FIRST_PACE), self.fresh.mean(FIRST_PACE));
+        let slow = fresh > warm.mul_f64(SLOWER);
+        let known = self.candidates(ask).any(|(_, t)| t.is_warm(object));
+        if known || !slow {
+            return true;
+        }
+        let (mut running, mut slots) = (0, 0);
+        for (_, target) in self.candidates(ask) {
+            running += target.running;
+            slots += target.view.slots;
+        }
+        f64::from(running) < f64::from(slots) * ROOM && self.queue.0.is_empty()
+    }
+
+    /// Whether a busy target that knows a request's object is free in time.
+    fn worth_waiting(&self, now: Time, waiting: &Waiting) -> bool {
+        let Some(object) = waiting.ask.object else {
+            return false;
+        };
+        let knows = |t: &Target| t.is_warm(object) && t.sound() && !t.broken(now);
+        let mut warm = self.candidates(&waiting.ask).filter(|(_, t)| knows(t));
+        let Some((_, target)) = warm.next() else {
+            return false;
+        };
+        let turn = waiting.turn(now);
+        let before = self.queue.0.iter().filter(|w| w.turn(now) < turn);
+        let rivals = before.filter(|w| w.ask.object.is_some_and(|o| target.is_warm(o)));
+        let turns = rivals.count() as f64 + 1.0;
+        let run = self.warm.mean(FIRST_PACE);
+        let wait = run.mul_f64(turns / f64::from(target.view.slots));
+        let gain = self.fresh.mean(FIRST_PACE).saturating_sub(run);
+        wait < gain && now + wait <= waiting.start_by
+    }
+
+    fn grant(&mut self, now: Time, at: usize, ask: Ask) -> Granted {
+        let target = &mut self.targets[at];
+        let warm = ask.object.is_some_and(|object| target.is_warm(object));
+        target.begin(now, ask.object);
+        Granted {
+            target: Arc::clone(&target.view.id),
+            seed: target.view.seed,
+            warm,
+            ask,
+        }
+    }
+
+    /// The time that a request is expected to run: with an object, on a target
+    /// that knows it, so that an unknown one is not put off for ever.
+    fn pace(&self, ask: &Ask) -> Duration {
+        let all = self.all.mean(FIRST_PACE);
+        match ask.object {
+            Some(_) => self.warm.mean(all),
+            None => all,
+        }
+    }
+
+    fn wait_or_refuse(&mut self, now: Time, waiting: Waiting, ahead: usize) -> Entry {
+        let usable = self
+            .candidates(&waiting.ask)
+            .filter(|(_, t)| !t.broken(now));
+        let slots: u32 = usable.map(|(_, t)| t.view.slots).sum();
+        let id = waiting.ask.id;
+        if slots == 0 {
+            let wait = Wait::Unknown;
+            return Entry::Refused(Effect::Refuse { id, wait });
+        }
+        let pace = self.all.mean(FIRST_PACE);
+        let wait = pace.mul_f64((ahead as f64 + 1.0) / f64::from(slots));
+        let latest = if now <= waiting.start_by {
+            waiting.start_by
+        } else {
+            now + waiting.ask.patience
+        };
+        if now + wait > latest || now + wait > waiting.ask.deadline {
+            let wait = Wait::For(wait);
+            return Entry::Refused(Effect::Refuse { id, wait });
+        }
+        self.queue.0.push(Waiting { latest, ..waiting });
+        Entry::Waits
+    }
+}
--- a/crates/pimento_broker/src/queue.rs
+++ b/crates/pimento_broker/src/queue.rs
@@ -40,13 +40,7 @@
     /// How many would start before a request.
     pub(crate) fn ahead(&self, now: Time, waiting: &Waiting) -> usize {
         let turn = waiting.turn(now);
-        let same = |w: &&Waiting| same_pool(&w.ask, &waiting.ask);
-        let queued = self.0.iter().filter(same);
-        queued.filter(|w| w.turn(now) <= turn).count()
+        let before = |w: &&Waiting| w.turn(now) <= turn;
+        self.0.iter().filter(before).count()
     }
 }
-
-/// Whether two requests compete for the same targets.
-pub(crate) fn same_pool(a: &Ask, b: &Ask) -> bool {
-    a.service == b.service && a.domain == b.domain
-}
--- a/crates/pimento_broker/src/target.rs
+++ b/crates/pimento_broker/src/target.rs
@@ -1,6 +1,6 @@
 //! The places of one target.
 
-use crate::{Ending, Report, broker::TargetView, pace::Pace};
+use crate::{Ending, Report, pace::Pace};
 use pimento_core::{Time, hash};
 use std::{sync::Arc, time::Duration};
 
@@ -25,6 +25,27 @@
 /// may grant its places while they disagree on who does.
 const COLD_SHARE: f64 = 0.8;
 
+/// What a broker knows of a target from others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetView {
+    /// The name.
+    pub id: Arc<str>,
+    /// A number of the lifetime, the same on all VMs.
+    pub seed: u64,
+    /// The service.
+    pub service: Arc<str>,
+    /// The failure domain.
+    pub domain: Arc<str>,
+    /// The requests that it runs at a time.
+    pub slots: u32,
+    /// Whether it may get requests.
+    pub open: bool,
+    /// Until when it is cold.
+    pub cold_until: Time,
+    /// The requests a second that it bears while cold.
+    pub cold_rate: f64,
+}
+
 /// The places of one target.
 #[derive(Clone, Debug)]
 pub(crate) struct Target {
@@ -191,8 +212,3 @@
     lot: u64,
     spare: u32,
 }
-
-/// The name of a target as candidates are told apart.
-pub(crate) fn named(target: &Target, name: &Arc<str>) -> bool {
-    target.view.id == *name
-}
--- a/crates/pimento_fleet/src/actor.rs
+++ b/crates/pimento_fleet/src/actor.rs
@@ -137,7 +137,7 @@
         let view = self.fleet.view();
         if view.ready != self.ready {
             self.ready = view.ready;
-            let (targets, revision) = (view.targets.len(), view.catalog.revision());
+            let (targets, revision) = (view.board.targets().len(), view.catalog.revision());
             event!(self.log, Event::ReadyChanged, "ready" => view.ready,
                 "targets" => targets, "revision" => revision, "vms" => view.vms);
         }
--- a/crates/pimento_fleet/src/effect.rs
+++ b/crates/pimento_fleet/src/effect.rs
@@ -41,6 +41,25 @@
 pub struct Outgoing(pub(crate) Body);
 
 impl Outgoing {
+    /// The kind of the message, as metrics name it.
+    pub const fn kind(&self) -> &'static str {
+        match &self.0 {
+            Body::Beat(_) => "beat",
+            Body::Alive(_) => "alive",
+            Body::Unknown(_) => "unknown",
+            Body::Pong(_) => "pong",
+            Body::Roster(_) => "roster",
+            Body::Items(_) => "items",
+            Body::Targets(_) => "targets",
+            Body::Announce(_) | Body::Settled(_) => "news",
+            Body::Heard(_) => "heard",
+            Body::Ask(_) => "ask",
+            Body::Verdict(_) => "verdict",
+            Body::Done(_) => "done",
+            Body::Bye(_) => "bye",
+        }
+    }
+
     /// The datagrams of the message; the number tells those of a sender's
     /// messages apart.
     pub fn datagrams(self, number: u64) -> Vec<Bytes> {
--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -3,6 +3,7 @@
 use crate::{
     Effect, FleetConfig, Stage,
     asks::Asks,
+    board::Board,
     effect::Outgoing,
     members::Members,
     message::{Body, DonePlace},
@@ -12,7 +13,7 @@
 };
 use pimento_broker::Broker;
 use pimento_core::Time;
-use pimento_items::Catalog;
+use pimento_items::{Catalog, RouteTable};
 use pimento_registry::Registry;
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -42,6 +43,10 @@
     pub(crate) members: Members,
     pub(crate) registry: Registry,
     pub(crate) catalog: Arc<Catalog>,
+    /// The routes of the catalog.
+    pub(crate) routes: Arc<RouteTable>,
+    /// The targets of the registry that may get requests.
+    pub(crate) board: Arc<Board>,
     pub(crate) broker: Broker,
     pub(crate) spread: Spread,
     pub(crate) asks: Asks,
@@ -75,6 +80,8 @@
             members: Members::default(),
             registry: Registry::default(),
             catalog: Arc::default(),
+            routes: Arc::default(),
+            board: Arc::default(),
             broker: Broker::default(),
             spread: Spread::default(),
             asks: Asks::default(),
@@ -109,7 +116,7 @@
         let news = self.spread.due(now);
         effects.extend(news.into_iter().map(|(to, body)| send(to, body)));
         effects.extend(self.chase(now));
-        if self.broker.is_waiting() {
+        if self.broker.is_waiting(now) {
             let decided = self.broker.tick(now);
             effects.extend(self.broker_effects(decided));
         }
--- a/crates/pimento_fleet/src/lib.rs
+++ b/crates/pimento_fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod actor;
 mod asks;
 mod beats;
+mod board;
 mod config;
 mod effect;
 mod fleet;
@@ -23,9 +24,10 @@
 
 pub use actor::{Acquire, Evidence, FleetActor, GetEntries, Release, Report, SetCatalog};
 pub use actor::{SetStage, StartError};
+pub use board::{Board, TargetInfo};
 pub use config::FleetConfig;
 pub use effect::{Effect, Outgoing, Refused, Verdict};
 pub use fleet::Fleet;
 pub use members::Node;
 pub use message::{NodeInfo, Role, Stage};
-pub use view::{Shared, TargetInfo, View};
+pub use view::{Shared, View};
--- a/crates/pimento_fleet/src/news.rs
+++ b/crates/pimento_fleet/src/news.rs
@@ -35,14 +35,13 @@
     pub fn set_catalog(&mut self, now: Time, catalog: Arc<Catalog>) -> Vec<Effect> {
         self.catalog = catalog;
         self.changed = now;
+        let mut effects = self.refresh(now);
         let followers: Vec<_> = self
             .followers(now)
             .map(|n| (n.address, n.revision))
             .collect();
-        let mut effects: Vec<_> = followers
-            .into_iter()
-            .filter_map(|(to, revision)| self.items_for(now, to, revision))
-            .collect();
+        let lacking = followers.into_iter();
+        effects.extend(lacking.filter_map(|(to, revision)| self.items_for(now, to, revision)));
         effects.push(Effect::Changed);
         effects
     }
@@ -61,6 +60,7 @@
         }
         let mut effects = Vec::new();
         if taken == Taken::News {
+            effects.extend(self.apply_changes(now));
             effects.push(Effect::Changed);
         }
         let binding = held.stage > Stage::Ready as i32;
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -182,7 +182,7 @@
         if items.from <= catalog.revision() {
             catalog.reach(items.to);
         }
-        let mut effects = self.refresh_broker(now);
+        let mut effects = self.refresh(now);
         effects.extend(self.mature());
         effects.push(Effect::Changed);
         effects
@@ -214,7 +214,7 @@
         if !changed {
             return Vec::new();
         }
-        let mut effects = self.refresh_broker(now);
+        let mut effects = self.apply_changes(now);
         effects.push(Effect::Changed);
         effects
     }
--- a/crates/pimento_fleet/src/viewing.rs
+++ b/crates/pimento_fleet/src/viewing.rs
@@ -1,12 +1,19 @@
 //! What requests are decided by.
 
-use crate::{Effect, Fleet, Node, Role, Stage, TargetInfo, View};
-use pimento_broker::{Place, TargetView};
+use crate::{
+    Effect, Fleet, Node, Role, Stage, View,
+    board::{Board, TargetInfo},
+};
+use pimento_broker::TargetView;
 use pimento_core::{Time, hash};
 use pimento_items::RouteTable;
 use pimento_registry::Target;
 use std::{net::SocketAddr, sync::Arc};
 
+/// The stages of targets as reports carry them.
+const READY: i32 = pimento_registry::Stage::Ready as i32;
+const GONE: i32 = pimento_registry::Stage::Gone as i32;
+
 impl Fleet {
     /// Where callers of a failure domain are to go.
     pub fn entries(&self, now: Time, domain: &str) -> Vec<SocketAddr> {
@@ -34,26 +41,13 @@
 
     /// What requests are decided by.
     pub fn view(&self) -> View {
-        let mut view = View {
+        View {
             catalog: Arc::clone(&self.catalog),
-            routes: Arc::new(RouteTable::new(&self.catalog)),
+            routes: Arc::clone(&self.routes),
+            board: Arc::clone(&self.board),
             vms: self.entry_count(),
             ready: self.config.me.stage == Stage::Ready as i32,
-            ..View::default()
-        };
-        for target in self.usable() {
-            let Ok(address) = target.address.parse() else {
-                continue;
-            };
-            let service: Arc<str> = Arc::from(target.service.as_str());
-            self.add_place(&mut view, &service, target);
-            view.targets.push(TargetInfo {
-                id: Arc::from(target.id.as_str()),
-                address,
-                service,
-            });
         }
-        view
     }
 
     /// The entry VMs that serve, this one included.
@@ -64,58 +58,76 @@
         others + usize::from(own)
     }
 
-    /// Hands the broker what is known of all targets.
-    pub(crate) fn refresh_broker(&mut self, now: Time) -> Vec<Effect> {
-        let views = self
-            .registry
-            .living()
-            .map(|t| self.target_view(t))
-            .collect();
+    /// Takes what the items say of routes, services and failure domains.
+    pub(crate) fn refresh(&mut self, now: Time) -> Vec<Effect> {
+        self.routes = Arc::new(RouteTable::new(&self.catalog));
+        self.registry.take_changes();
+        let living: Vec<_> = self.registry.living().cloned().collect();
+        let board = Arc::make_mut(&mut self.board);
+        *board = Board::default();
+        for target in &living {
+            self.show(target);
+        }
+        let views = living.iter().map(|t| self.target_view(t)).collect();
         let decided = self.broker.set_targets(now, views);
         self.broker_effects(decided)
     }
 
-    pub(crate) fn target_view(&self, target: &Target) -> TargetView {
+    /// Takes the targets that changed since the last call.
+    pub(crate) fn apply_changes(&mut self, now: Time) -> Vec<Effect> {
+        let mut decided = Vec::new();
+        for id in self.registry.take_changes() {
+            let living = self.registry.get(&id).filter(|t| t.stage < GONE);
+            let Some(target) = living.cloned() else {
+                Arc::make_mut(&mut self.board).remove(&id);
+                self.broker.drop_target(&id);
+                continue;
+            };
+            self.show(&target);
+            let view = self.target_view(&target);
+            decided.extend(self.broker.set_target(now, view));
+        }
+        self.broker_effects(decided)
+    }
+
+    /// Lets requests find a target, or no longer.
+    fn show(&mut self, target: &Target) {
+        let address = target.address.parse();
+        let usable = self.takes_requests(target);
+        let region = self.config.region(&target.domain);
+        let board = Arc::make_mut(&mut self.board);
+        match address {
+            Ok(address) if usable => {
+                let info = TargetInfo {
+                    id: Arc::from(target.id.as_str()),
+                    address,
+                    service: Arc::from(target.service.as_str()),
+                    domain: Arc::from(target.domain.as_str()),
+                    slots: target.slots,
+                };
+                board.set(info, region);
+            }
+            _ => board.remove(&target.id),
+        }
+    }
+
+    fn target_view(&self, target: &Target) -> TargetView {
         let service = self.catalog.service(&target.service);
         let rate = service.map_or(0.0, |s| f64::from(s.cold_rate) / 1_000.0);
-        let ready = target.stage == pimento_registry::Stage::Ready as i32;
         TargetView {
             id: Arc::from(target.id.as_str()),
             seed: hash::fnv([target.id.as_bytes(), &target.born.to_le_bytes()]),
             service: Arc::from(target.service.as_str()),
             domain: Arc::from(target.domain.as_str()),
             slots: target.slots,
-            open: ready && !self.catalog.evacuated(&target.domain),
+            open: self.takes_requests(target),
             cold_until: self.registry.cold_until(&target.id),
             cold_rate: rate,
         }
     }
 
-    /// The targets that may get requests, sorted by name.
-    pub(crate) fn usable(&self) -> impl Iterator<Item = &Target> {
-        self.registry.living().filter(|target| {
-            let ready = target.stage == pimento_registry::Stage::Ready as i32;
-            ready && !self.catalog.evacuated(&target.domain)
-        })
-    }
-
-    pub(crate) fn add_place(&self, view: &mut View, service: &Arc<str>, target: &Target) {
-        let Some(region) = self.config.region(&target.domain) else {
-            return;
-        };
-        let found = view.places.binary_search_by(|(name, _)| name.cmp(service));
-        let at = found.unwrap_or_else(|at| {
-            view.places.insert(at, (Arc::clone(service), Vec::new()));
-            at
-        });
-        let places = &mut view.places[at].1;
-        match places.iter_mut().find(|p| *p.domain == *target.domain) {
-            Some(place) => place.slots += target.slots,
-            None => places.push(Place {
-                domain: Arc::from(target.domain.as_str()),
-                region: Arc::clone(region),
-                slots: target.slots,
-            }),
-        }
+    /// Whether a target may get requests.
+    fn takes_requests(&self, target: &Target) -> bool {
+        target.stage == READY && !self.catalog.evacuated(&target.domain)
     }
 }
--- a/crates/pimento_fleet/tests/world/mod.rs
+++ b/crates/pimento_fleet/tests/world/mod.rs
@@ -33,6 +33,8 @@
     pub processes: Vec<Process>,
     /// The share of datagrams that are lost.
     pub loss: f64,
+    /// What was sent: the kind, by whom, to whom, and its bytes.
+    pub traffic: Vec<(&'static str, usize, usize, usize)>,
     flying: VecDeque<(Time, SocketAddr, usize, bytes::Bytes)>,
     rng: SmallRng,
     steps: u64,
@@ -42,24 +44,36 @@
 /// `c` control VMs, the first three of them seeds, and `e` entry VMs, spread
 /// over the domains `a` and `b`.
 pub fn world(c: u8, e: u8, seed: u64) -> World {
+    crowd(c, e, 2, seed)
+}
+
+/// The same over more domains, two to a region.
+pub fn crowd(c: u8, e: u8, domains: usize, seed: u64) -> World {
     let mut world = World {
         now: Time::from_millis(5_000),
         processes: Vec::new(),
         loss: 0.0,
+        traffic: Vec::new(),
         flying: VecDeque::new(),
         rng: SmallRng::seed_from_u64(seed),
         steps: 0,
         messages: 0,
     };
     for i in 0..c {
-        world.add(i, Role::Control);
+        world.add(i, Role::Control, domains);
     }
     for i in 0..e {
-        world.add(100 + i, Role::Entry);
+        world.add(100 + i, Role::Entry, domains);
     }
     world
 }
 
+/// The name of a failure domain.
+pub fn domain(number: usize) -> String {
+    let letter = b'a' + number as u8;
+    char::from(letter).to_string()
+}
+
 pub fn address(host: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, host], 7_000))
 }
@@ -107,14 +121,15 @@
 }
 
 impl World {
-    fn add(&mut self, host: u8, role: Role) {
-        let domain = if host.is_multiple_of(2) { "a" } else { "b" };
+    fn add(&mut self, host: u8, role: Role, domains: usize) {
+        let region = |i: usize| format!("r{}", i / 2);
+        let named = (0..domains).map(|i| (domain(i).into(), region(i).into()));
         let me = NodeInfo {
             address: address(host).to_string(),
             process: self.rng.random(),
             role: role as i32,
             stage: 0,
-            domain: domain.into(),
+            domain: domain(usize::from(host) % domains),
             callers: match role {
                 Role::Entry => format!("10.0.0.{host}:80"),
                 Role::Control => String::new(),
@@ -123,7 +138,7 @@
         let config = FleetConfig {
             me,
             seeds: (0..3).map(address).collect(),
-            regions: vec![("a".into(), "r".into()), ("b".into(), "r".into())],
+            regions: named.collect(),
             lost: Duration::from_millis(1_700),
         };
         self.processes.push(Process {
@@ -177,6 +192,33 @@
         verdicts.iter().find(|(s, _)| *s == serial).map(|(_, v)| v)
     }
 
+    pub fn stage(&mut self, i: usize, stage: pimento_fleet::Stage) {
+        let effects = self.processes[i].fleet.set_stage(self.now, stage);
+        self.apply(i, effects);
+    }
+
+    pub fn print(&self) {
+        let mut kinds: Vec<(&str, usize, usize)> = Vec::new();
+        let mut to = vec![0; self.processes.len()];
+        for (kind, _, t, bytes) in &self.traffic {
+            to[*t] += bytes;
+            match kinds.iter_mut().find(|k| k.0 == *kind) {
+                Some(k) => {
+                    k.1 += 1;
+                    k.2 += bytes;
+                }
+                None => kinds.push((kind, 1, *bytes)),
+            }
+        }
+        println!("{kinds:?}");
+        let e: Vec<_> = self.of(Role::Entry).iter().map(|i| to[*i]).collect();
+        println!(
+            "entry rx max {:?} mean {}",
+            e.iter().max(),
+            e.iter().sum::<usize>() / e.len()
+        );
+    }
+
     pub fn run(&mut self, span: Duration) {
         let end = self.now + span;
         while self.now < end {
@@ -225,16 +267,19 @@
                     self.processes[i].verdicts.push((serial, verdict));
                 }
                 Effect::Known { ticket } => self.processes[i].known.push(ticket),
-                Effect::Suspected(_) | Effect::Changed => {}
+                Effect::Changed => drop(self.processes[i].fleet.view()),
+                Effect::Suspected(_) => {}
             }
         }
     }
 
     fn send(&mut self, from: usize, to: SocketAddr, message: pimento_fleet::Outgoing) {
         self.messages += 1;
+        let kind = message.kind();
         let found = self.processes.iter().position(|p| p.address == to);
         for datagram in message.datagrams(self.messages) {
             let Some(to) = found else { return };
+            self.traffic.push((kind, from, to, datagram.len()));
             let cut = self.processes[to].side != self.processes[from].side;
             if cut || self.rng.random_bool(self.loss) {
                 continue;
--- a/crates/pimento_gateway/src/attempt.rs
+++ b/crates/pimento_gateway/src/attempt.rs
@@ -16,7 +16,7 @@
     header::{HOST, HeaderValue},
 };
 use pimento_fleet::TargetInfo;
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::time::{Instant, timeout_at};
 
 /// The largest answer that is taken whole before it is passed on, so that one
@@ -74,7 +74,7 @@
 pub(crate) struct Attempt<'a> {
     pub dialect: &'a Dialect,
     pub pool: &'a Rc<Pool>,
-    pub target: &'a TargetInfo,
+    pub target: &'a Arc<TargetInfo>,
     /// Whether it must not run twice.
     pub once: bool,
     /// When the caller has its final answer.
@@ -168,7 +168,7 @@
         let shed = parts.headers.contains_key(&self.dialect.not_run);
         headers::strip(&mut parts.headers);
         let rest = Rest {
-            target: self.target.clone(),
+            target: Arc::clone(self.target),
             pool: Rc::clone(self.pool),
             connection: Some(connection),
             kept,
@@ -197,7 +197,7 @@
 /// The connection that an answer is being read from.
 #[derive(Debug)]
 struct Rest {
-    target: TargetInfo,
+    target: Arc<TargetInfo>,
     pool: Rc<Pool>,
     connection: Option<Connection>,
     kept: Option<Duration>,
--- a/crates/pimento_gateway/tests/repeats.rs
+++ b/crates/pimento_gateway/tests/repeats.rs
@@ -73,7 +73,7 @@
             .await
             .unwrap()
     );
-    while site.shared.load().targets[0].address.port() != 9 {
+    while site.shared.load().board.targets()[0].address.port() != 9 {
         sleep(Duration::from_millis(10)).await;
     }
     let reply = site.call("/once/x", "", "body").await;
--- a/crates/pimento_registry/src/registry.rs
+++ b/crates/pimento_registry/src/registry.rs
@@ -37,6 +37,8 @@
 pub struct Registry {
     entries: Vec<Entry>,
     buckets: [u32; BUCKETS],
+    /// The names whose lifetimes changed since they were last asked for.
+    changed: Vec<String>,
 }
 
 impl Registry {
@@ -51,11 +53,17 @@
             }
         };
         if taken == Taken::News {
+            self.changed.push(report.id.clone());
             self.settle_address(&report.id);
         }
         taken
     }
 
+    /// The names whose lifetimes changed since the last call.
+    pub fn take_changes(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.changed)
+    }
+
     /// Notes that a target has ended; one that is unknown stays so.
     pub fn leave(&mut self, now: Time, id: &str, born: Option<u64>) -> Option<Target> {
         let held = self.get(id)?;
@@ -185,6 +193,7 @@
                 *bucket ^= entry.target.digest();
                 entry.target.stage = Stage::Gone as i32;
                 *bucket ^= entry.target.digest();
+                self.changed.push(entry.target.id.clone());
             }
         }
     }
