--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -14,7 +14,7 @@
 use pimento_broker::Broker;
 use pimento_core::Time;
 use pimento_items::{Catalog, RouteTable};
-use pimento_registry::Registry;
+use pimento_registry::{Registry, Target};
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
 /// How often a process shows that it lives.
@@ -49,6 +49,8 @@
     pub(crate) board: Arc<Board>,
     pub(crate) broker: Broker,
     pub(crate) spread: Spread,
+    /// News that followers are told of with the next tick.
+    pub(crate) untold: Vec<Target>,
     pub(crate) asks: Asks,
     pub(crate) assembly: Assembly,
     /// Processes that did not answer, and until when they are left out.
@@ -84,6 +86,7 @@
             board: Arc::default(),
             broker: Broker::default(),
             spread: Spread::default(),
+            untold: Vec::new(),
             asks: Asks::default(),
             assembly: Assembly::default(),
             suspects: Vec::new(),
@@ -115,6 +118,7 @@
         effects.extend(self.settle_news());
         let news = self.spread.due(now);
         effects.extend(news.into_iter().map(|(to, body)| send(to, body)));
+        effects.extend(self.tell_followers(now));
         effects.extend(self.chase(now));
         if self.broker.is_waiting(now) {
             let decided = self.broker.tick(now);
--- a/crates/pimento_fleet/src/news.rs
+++ b/crates/pimento_fleet/src/news.rs
@@ -73,7 +73,7 @@
             self.spread.begin(now, held.clone(), audience)
         });
         if !binding {
-            effects.extend(self.tell_followers(now, vec![held]));
+            self.untold.push(held);
         }
         let news = self.spread.due(now);
         effects.extend(news.into_iter().map(|(to, body)| send(to, body)));
@@ -104,12 +104,19 @@
         }
     }
 
-    /// Tells the entry VMs that follow this control VM; what is lost they get
-    /// when they next compare what they have.
-    pub(crate) fn tell_followers(&self, now: Time, targets: Vec<Target>) -> Vec<Effect> {
+    /// Tells the entry VMs that follow this control VM what is new since the
+    /// last time; what is lost they get when they next compare what they have.
+    ///
+    /// All news of a tick go in one message: when hundreds of targets report
+    /// at once, as after a restart of everything, one message for each would
+    /// fill the links of entry VMs.
+    pub(crate) fn tell_followers(&mut self, now: Time) -> Vec<Effect> {
+        if self.untold.is_empty() {
+            return Vec::new();
+        }
         let targets = Targets {
             buckets: Vec::new(),
-            targets,
+            targets: std::mem::take(&mut self.untold),
         };
         let told = self.followers(now).map(|n| n.address);
         told.map(|to| send(to, Body::Targets(targets.clone())))
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -32,7 +32,7 @@
             Body::Announce(news) => {
                 let mut effects = self.take_targets(now, &news.targets);
                 if !effects.is_empty() && self.config.me.role == Role::Control as i32 {
-                    effects.extend(self.tell_followers(now, news.targets));
+                    self.untold.extend(news.targets);
                 }
                 effects.push(send(from, Body::Heard(news.number)));
                 effects
