--- a/crates/pimento_broker/src/pool.rs
+++ b/crates/pimento_broker/src/pool.rs
@@ -201,6 +201,9 @@
         let free = self.candidates(ask).filter(|(_, t)| t.free(now));
         let rated = free.map(|(at, t)| (t.fitness(now, ask.object, doubt), at));
         let (fitness, at) = rated.max()?;
+        if !self.ends_in_time(now, ask, fitness.warm) && !self.half_free(ask) {
+            return None;
+        }
         (fitness.warm || !self.worth_waiting(now, waiting)).then_some(at)
     }
 
@@ -220,12 +223,31 @@
         if known || !slow {
             return true;
         }
+        self.half_free(ask) && self.queue.0.is_empty()
+    }
+
+    /// Whether fewer places are taken than [`ROOM`] says.
+    fn half_free(&self, ask: &Ask) -> bool {
         let (mut running, mut slots) = (0, 0);
         for (_, target) in self.candidates(ask) {
             running += target.running;
             slots += target.view.slots;
         }
-        f64::from(running) < f64::from(slots) * ROOM && self.queue.0.is_empty()
+        f64::from(running) < f64::from(slots) * ROOM
+    }
+
+    /// Whether a request that starts now is likely to end before its deadline.
+    ///
+    /// The load that it answers: a peak at which requests wait so long that
+    /// they are cut off while they run, and take places for nothing.
+    fn ends_in_time(&self, now: Time, ask: &Ask, warm: bool) -> bool {
+        let all = self.all.mean(FIRST_PACE);
+        let run = match (ask.object, warm) {
+            (None, _) => all,
+            (Some(_), true) => self.warm.mean(all),
+            (Some(_), false) => self.fresh.mean(all),
+        };
+        now + run <= ask.deadline
     }
 
     /// Whether a busy target that knows a request's object is free in time.
--- a/crates/pimento_broker/tests/peak.rs
+++ b/crates/pimento_broker/tests/peak.rs
@@ -150,3 +150,31 @@
         assert!(share > 0.9, "seed {seed}: {share}");
     }
 }
+
+/// The same with fewer regions, and targets that need longer.
+fn dawn(seed: u64) -> Load {
+    Load {
+        targets: vec![7, 7, 30, 30, 36, 36],
+        region: 2,
+        slots: 6,
+        rate: 1_300.0,
+        objects: 284,
+        memory: 24,
+        fresh: Duration::from_millis(1_020),
+        warm: Duration::from_millis(350),
+        objective: Duration::from_millis(600),
+        deadline: Duration::from_millis(1_500),
+        ..crowd(seed)
+    }
+}
+
+#[test]
+fn dawn_recovers() {
+    for seed in 0..3 {
+        let share = in_time(Load {
+            rate: 1_600.0,
+            ..dawn(seed)
+        });
+        assert!(share > 0.9, "seed {seed}: {share}");
+    }
+}
--- a/crates/pimento_broker/tests/places.rs
+++ b/crates/pimento_broker/tests/places.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use pimento_broker::{AskId, Broker, Effect, Ending, Report, TargetView, Wait};
+use pimento_broker::{Ask, AskId, Broker, Effect, Ending, Report, TargetView, Wait};
 use pimento_core::Time;
 use std::time::Duration;
 use support::{ask, report, view};
@@ -211,3 +211,27 @@
     again.tried.push("a".into());
     assert!(granted(&broker.submit(START, again)).is_none());
 }
+
+#[test]
+fn too_late_to_end() {
+    let mut broker = broker(vec![view("a", "d0", 4)]);
+    // Requests take a second here.
+    for serial in 1..=2 {
+        broker.submit(START, ask(serial, START, SECOND));
+    }
+    let end = START + SECOND;
+    broker.finish(end, &id(1), &report(Ending::Answered, SECOND));
+    let short = Ask {
+        deadline: end + SECOND / 2,
+        ..ask(4, START, SECOND)
+    };
+    // Half of the places are free: it may try.
+    assert_eq!(
+        granted(&broker.submit(end, short.clone())).as_deref(),
+        Some("a")
+    );
+    let busy = Ask { id: id(5), ..short };
+    assert_eq!(granted(&broker.submit(end, busy)), None);
+    let long = ask(6, end, SECOND);
+    assert_eq!(granted(&broker.submit(end, long)).as_deref(), Some("a"));
+}
--- a/crates/pimento_broker/tests/support/mod.rs
+++ b/crates/pimento_broker/tests/support/mod.rs
@@ -43,6 +43,8 @@
     pub asked: u32,
     pub in_time: u32,
     pub late: u32,
+    /// Runs that were cut off at their deadline.
+    pub cut: u32,
     pub refused: u32,
     /// The longest wait that ended in a refusal.
     pub held: Duration,
@@ -290,7 +292,7 @@
         let request = &mut self.requests[number as usize];
         request.begun = self.now;
         request.target = Some(Arc::clone(target));
-        let object = request.object;
+        let (object, came) = (request.object, request.came);
         let found = self.targets.iter_mut().find(|(id, ..)| id == target);
         let (_, memory, running) = found.unwrap();
         *running += 1;
@@ -309,6 +311,8 @@
             self.load.fresh
         };
         let run = run.mul_f64(self.rng.random_range(0.8..1.2));
+        let left = (came + self.load.deadline).since(self.now);
+        let run = run.min(left);
         self.after(
             run,
             Event::End {
@@ -349,7 +353,10 @@
         let rank = request.rank as usize;
         let found = self.targets.iter_mut().find(|(id, ..)| *id == target);
         found.unwrap().2 -= 1;
-        if self.counts(number) {
+        let cut = self.now >= request.came + self.load.deadline;
+        if self.counts(number) && cut {
+            self.result.cut += 1;
+        } else if self.counts(number) {
             self.result.ranks[rank].0 += 1;
             if in_time {
                 self.result.in_time += 1;
@@ -361,7 +368,12 @@
             process: 1,
             serial: number,
         };
-        let report = report(Ending::Answered, took);
+        let ending = if cut {
+            Ending::Failed
+        } else {
+            Ending::Answered
+        };
+        let report = report(ending, took);
         let effects = self.brokers[domain].finish(self.now, &id, &report);
         self.apply(domain, effects);
     }
--- a/crates/pimento_fleet/src/asks.rs
+++ b/crates/pimento_fleet/src/asks.rs
@@ -23,6 +23,8 @@
     pub deadline: Time,
     /// How often it was sent since the last answer.
     pub tries: u32,
+    /// Whether the other VM said that it waits there.
+    pub queued: bool,
 }
 
 /// Asks of this process that wait for another VM's verdict.
@@ -39,6 +41,7 @@
             due: now + AGAIN,
             deadline,
             tries: 1,
+            queued: false,
         });
     }
 
@@ -48,10 +51,17 @@
         Some(self.0.swap_remove(at))
     }
 
+    /// Takes the asks that a process never answered.
+    pub(crate) fn take_unanswered(&mut self, to: &SocketAddr) -> Vec<Pending> {
+        let unanswered = |p: &mut Pending| p.to == *to && !p.queued;
+        self.0.extract_if(.., unanswered).collect()
+    }
+
     /// Notes that an ask waits at the other VM.
     pub(crate) fn queued(&mut self, now: Time, serial: u64) {
         if let Some(pending) = self.0.iter_mut().find(|p| p.ask.serial == serial) {
             pending.tries = 0;
+            pending.queued = true;
             pending.due = now + POLL;
         }
     }
--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -10,6 +10,7 @@
     news::Confirmed,
     parts::Assembly,
     spread::Spread,
+    suspects::Suspects,
 };
 use pimento_broker::Broker;
 use pimento_core::Time;
@@ -21,8 +22,6 @@
 const BEAT: Duration = Duration::from_millis(500);
 /// How often a process asks that does not know enough to serve.
 const FIRST_BEATS: Duration = Duration::from_millis(100);
-/// How long a process that did not answer is left out.
-const SUSPICION: Duration = Duration::from_secs(2);
 
 /// A place that a request of this process has.
 #[derive(Clone, Copy, Debug)]
@@ -53,8 +52,7 @@
     pub(crate) untold: Vec<Target>,
     pub(crate) asks: Asks,
     pub(crate) assembly: Assembly,
-    /// Processes that did not answer, and until when they are left out.
-    pub(crate) suspects: Vec<(SocketAddr, Time)>,
+    pub(crate) suspects: Suspects,
     /// The places that requests of this process have.
     pub(crate) held: Vec<HeldPlace>,
     /// The last places given back, by who granted them.
@@ -89,7 +87,7 @@
             untold: Vec::new(),
             asks: Asks::default(),
             assembly: Assembly::default(),
-            suspects: Vec::new(),
+            suspects: Suspects::default(),
             held: Vec::new(),
             returned: Vec::new(),
             askers: Vec::new(),
@@ -113,7 +111,7 @@
             effects.extend(self.beats(now));
             effects.extend(self.mature());
         }
-        self.suspects.retain(|(_, until)| *until > now);
+        self.suspects.forget(now);
         self.excuse_lost(now);
         effects.extend(self.settle_news());
         let news = self.spread.due(now);
@@ -131,12 +129,6 @@
     pub(crate) fn alive(&self, now: Time) -> impl Iterator<Item = &crate::Node> {
         self.members.heard(now, self.config.lost)
     }
-
-    /// Leaves a process out that did not answer.
-    pub(crate) fn suspect(&mut self, now: Time, address: SocketAddr) {
-        self.suspects.retain(|(other, _)| *other != address);
-        self.suspects.push((address, now + SUSPICION));
-    }
 }
 
 pub(crate) const fn send(to: SocketAddr, body: Body) -> Effect {
--- a/crates/pimento_fleet/src/granting.rs
+++ b/crates/pimento_fleet/src/granting.rs
@@ -1,7 +1,8 @@
 //! Places: who grants them, and what becomes of asks.
 
 use crate::{
-    Acquire, Effect, Fleet, Node, Refused, Role, Verdict,
+    Acquire, Effect, Fleet, Node, Refused, Role, Stage, Verdict,
+    asks::Pending,
     fleet::{HeldPlace, send},
     message::{AskMessage, Body, Done, DonePlace, VerdictKind, VerdictMessage},
 };
@@ -19,7 +20,7 @@
     /// Asks for a place; [`Effect::Decided`] tells what became of it.
     pub fn ask(&mut self, now: Time, acquire: &Acquire) -> Vec<Effect> {
         let ask = acquire.message(self.config.me.process);
-        let Some(to) = self.granter(&ask.domain, &ask.service) else {
+        let Some(to) = self.granter(now, &ask.domain, &ask.service) else {
             return self.grant(now, &ask);
         };
         let message = send(to, Body::Ask(ask.clone()));
@@ -50,20 +51,42 @@
             .collect();
         for pending in given_up {
             if pending.deadline > now {
-                self.suspect(now, pending.to);
-                effects.push(Effect::Suspected(pending.to));
+                effects.extend(self.leave_out(now, pending.to));
             }
-            let serial = pending.ask.serial;
-            let cancelled = done_place(serial, &Report::CANCELLED);
-            effects.push(self.give_back(pending.to, cancelled));
-            let verdict = Verdict::Refuse(Refused::Unreachable);
-            effects.push(Effect::Decided { serial, verdict });
+            effects.extend(self.give_up(&pending));
         }
         effects
     }
 
+    /// Leaves a process out that did not answer, and gives up on what else it
+    /// was asked and did not answer.
+    fn leave_out(&mut self, now: Time, address: SocketAddr) -> Vec<Effect> {
+        self.suspects.note(now, address);
+        let mut effects = vec![Effect::Suspected(address)];
+        for pending in self.asks.take_unanswered(&address) {
+            effects.extend(self.give_up(&pending));
+        }
+        effects
+    }
+
+    fn give_up(&mut self, pending: &Pending) -> [Effect; 2] {
+        let serial = pending.ask.serial;
+        let cancelled = done_place(serial, &Report::CANCELLED);
+        let verdict = Verdict::Refuse(Refused::Unreachable);
+        [
+            self.give_back(pending.to, cancelled),
+            Effect::Decided { serial, verdict },
+        ]
+    }
+
     /// Takes another process's ask.
     pub(crate) fn asked(&mut self, now: Time, from: SocketAddr, ask: &AskMessage) -> Vec<Effect> {
+        if self.config.me.stage != Stage::Ready as i32 {
+            // What this process knows of targets is not enough, or it ends.
+            let kind = Some(VerdictKind::Away(true));
+            let serial = ask.serial;
+            return vec![send(from, Body::Verdict(VerdictMessage { serial, kind }))];
+        }
         self.remember_asker(ask.process, from);
         let effects = self.grant(now, ask);
         let answered = |e: &Effect| {
@@ -96,8 +119,13 @@
             self.asks.queued(now, serial);
             return Vec::new();
         }
-        if self.asks.take(serial).is_none() {
+        let Some(pending) = self.asks.take(serial) else {
             return self.decline(from, serial, &kind);
+        };
+        if matches!(kind, VerdictKind::Away(_)) {
+            let mut effects = self.leave_out(now, from);
+            effects.extend(self.give_up(&pending));
+            return effects;
         }
         let verdict = match kind {
             VerdictKind::Grant(target) => {
@@ -108,7 +136,9 @@
                 Verdict::Grant(Arc::from(target))
             }
             VerdictKind::Refuse(ms) => Verdict::Refuse(Refused::Full(Duration::from_millis(ms))),
-            VerdictKind::Unusable(_) | VerdictKind::Queued(_) => Verdict::Refuse(Refused::Unusable),
+            VerdictKind::Unusable(_) | VerdictKind::Queued(_) | VerdictKind::Away(_) => {
+                Verdict::Refuse(Refused::Unusable)
+            }
         };
         vec![Effect::Decided { serial, verdict }]
     }
@@ -188,12 +218,12 @@
     ///
     /// All processes that know the same ones choose alike. Only one of the
     /// domain is chosen while any lives there; without, one of its region.
-    fn granter(&self, domain: &str, service: &str) -> Option<SocketAddr> {
+    fn granter(&self, now: Time, domain: &str, service: &str) -> Option<SocketAddr> {
         let region = self.config.region(domain);
-        let usable = |n: &&Node| n.ready() && !self.suspects.iter().any(|(a, _)| *a == n.address);
+        let usable = |n: &&Node| n.ready() && !self.suspects.holds(now, &n.address);
         let entries = || self.members.of(Role::Entry).filter(usable);
         let me = &self.config.me;
-        let own = me.role == Role::Entry as i32 && me.stage == crate::Stage::Ready as i32;
+        let own = me.role == Role::Entry as i32 && me.stage == Stage::Ready as i32;
         let key = |address: &str| hash::weight(service, address);
         let local = entries().filter(|n| n.info.domain == domain);
         let regional = entries().filter(|n| self.config.region(&n.info.domain) == region);
--- a/crates/pimento_fleet/src/lib.rs
+++ b/crates/pimento_fleet/src/lib.rs
@@ -19,6 +19,7 @@
 mod parts;
 mod receive;
 mod spread;
+mod suspects;
 mod view;
 mod viewing;
 
--- a/crates/pimento_fleet/src/message.rs
+++ b/crates/pimento_fleet/src/message.rs
@@ -231,7 +231,7 @@
 pub(crate) struct VerdictMessage {
     #[prost(uint64, tag = "1")]
     pub serial: u64,
-    #[prost(oneof = "VerdictKind", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "VerdictKind", tags = "2, 3, 4, 5, 6")]
     pub kind: Option<VerdictKind>,
 }
 
@@ -250,6 +250,9 @@
     /// None, and no target can be used.
     #[prost(bool, tag = "5")]
     Unusable(bool),
+    /// The receiver of the ask grants no places now.
+    #[prost(bool, tag = "6")]
+    Away(bool),
 }
 
 /// Places are given back.
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -4,7 +4,7 @@
     Effect, Fleet, NodeInfo, Role,
     fleet::send,
     members::digest,
-    message::{Alive, Beat, Body, Items, Message, Pong, Roster, Targets},
+    message::{Alive, Beat, Body, Items, Message, Pong, Roster, Targets, VerdictKind},
 };
 use bytes::Bytes;
 use pimento_core::Time;
@@ -21,6 +21,9 @@
         let Some(body) = Message::decode(whole).ok().and_then(|m| m.body) else {
             return Vec::new();
         };
+        if !away(&body) {
+            self.suspects.clear(&from);
+        }
         match body {
             Body::Beat(beat) => self.beaten(now, from, &beat),
             Body::Alive(alive) => self.lives(now, from, &alive),
@@ -171,6 +174,13 @@
         let known = |a: &SocketAddr| self.members.get(a).is_some_and(|n| n.is(Role::Control));
         let news = others.into_iter().filter(|(address, _)| !known(address));
         let news: Vec<_> = news.collect();
+        for (address, info) in &news {
+            let known = self.members.get(address);
+            if known.is_some_and(|n| n.info != *info) {
+                // It has started anew, or serves now.
+                self.suspects.clear(address);
+            }
+        }
         self.members.replace(now, &news);
         self.members.hear_again(now, &from);
         let mut effects = self.mature();
@@ -229,6 +239,14 @@
     }
 }
 
+/// Whether a message says that its sender grants no places.
+const fn away(body: &Body) -> bool {
+    let Body::Verdict(verdict) = body else {
+        return false;
+    };
+    matches!(verdict.kind, Some(VerdictKind::Away(_)))
+}
+
 /// Whether two descriptions of a lifetime say the same.
 fn same(a: &Target, b: &Target) -> bool {
     a.id == b.id && a.born == b.born && a.stage == b.stage && a.slots == b.slots
--- a/crates/pimento_fleet/tests/granting.rs
+++ b/crates/pimento_fleet/tests/granting.rs
@@ -134,3 +134,45 @@
         Some(Verdict::Grant(_))
     ));
 }
+
+#[test]
+fn starting_granter_declines() {
+    let mut world = settled(1);
+    let entries = world.of(Role::Entry);
+    // All VMs of the domain but the asking one have just started anew, and no
+    // control VM tells.
+    for i in world.of(Role::Control) {
+        world.processes[i].alive = false;
+    }
+    let asking = entries[1];
+    let others: Vec<_> = entries.iter().filter(|i| **i != asking).collect();
+    for i in others {
+        world.stage(*i, pimento_fleet::Stage::Starting);
+    }
+    let before = world.now;
+    let served = (0..8).any(|serial| {
+        world.ask(asking, serial);
+        world.until(SECOND, |w| w.verdict(asking, serial).is_some());
+        matches!(world.verdict(asking, serial), Some(Verdict::Grant(_)))
+    });
+    assert!(served);
+    assert!(world.now.since(before) < SECOND / 3);
+}
+
+#[test]
+fn pending_asks_follow() {
+    // Ten asks to a lost VM: all go elsewhere once the first is given up.
+    let mut world = settled(1);
+    let entries = world.of(Role::Entry);
+    let asking = entries[1];
+    for i in &entries {
+        world.processes[*i].alive = *i == asking;
+    }
+    for serial in 0..10 {
+        world.ask(asking, serial);
+        world.run(SECOND / 50);
+    }
+    world.run(SECOND / 10);
+    let decided = (0..10).filter(|s| world.verdict(asking, *s).is_some());
+    assert_eq!(decided.count(), 10);
+}
--- a/crates/pimento_gateway/src/placing.rs
+++ b/crates/pimento_gateway/src/placing.rs
@@ -10,6 +10,9 @@
 /// The failure domains that a request tries.
 const DOMAINS: usize = 4;
 
+/// The granting VMs of a failure domain that a request asks while none answers.
+const GRANTERS: usize = 3;
+
 /// A place that a request asks for or has; it is given back when dropped.
 #[derive(Debug)]
 pub(crate) struct Permit {
@@ -67,7 +70,10 @@
     for (i, place) in need.places.iter().take(DOMAINS).enumerate() {
         let home = i == 0;
         let mut verdict = ask(inner, need, place, home).await;
-        if matches!(verdict, Err(Refused::Unreachable)) {
+        for _ in 1..GRANTERS {
+            if !matches!(verdict, Err(Refused::Unreachable)) || Instant::now() >= need.deadline {
+                break;
+            }
             // Another VM grants in its stead.
             verdict = ask(inner, need, place, home).await;
         }
