--- a/crates/pimento_broker/src/ask.rs
+++ b/crates/pimento_broker/src/ask.rs
@@ -21,6 +21,8 @@
     pub service: Arc<str>,
     /// The failure domain whose targets are meant.
     pub domain: Arc<str>,
+    /// The shard of the targets there.
+    pub shard: u32,
     /// What the request is about, where a target that has seen it is faster.
     pub object: Option<u64>,
     /// Whether other requests about the same come to this failure domain first.
--- a/crates/pimento_broker/src/broker.rs
+++ b/crates/pimento_broker/src/broker.rs
@@ -20,11 +20,12 @@
     pool: usize,
 }
 
-/// A service in a failure domain.
+/// A shard of a service's targets in a failure domain.
 #[derive(Clone, Debug)]
 struct Name {
     service: Arc<str>,
     domain: Arc<str>,
+    shard: u32,
     /// The index of its pool.
     pool: usize,
 }
@@ -39,7 +40,7 @@
 pub struct Broker {
     /// Never removed, so that an index stays true.
     pools: Vec<Pool>,
-    /// Sorted by service and failure domain.
+    /// Sorted by service, failure domain and shard.
     names: Vec<Name>,
     /// Sorted by ask.
     granted: Vec<Granted>,
@@ -79,7 +80,7 @@
             let target = Arc::clone(&self.granted[found].place.target);
             return vec![Effect::Grant { id: ask.id, target }];
         }
-        let Ok(found) = self.name(&ask.service, &ask.domain) else {
+        let Ok(found) = self.name(&ask.service, &ask.domain, ask.shard) else {
             let wait = Wait::Unknown;
             return vec![Effect::Refuse { id: ask.id, wait }];
         };
@@ -140,15 +141,15 @@
         self.granted.binary_search_by(|g| g.place.id.cmp(id))
     }
 
-    fn name(&self, service: &str, domain: &str) -> Result<usize, usize> {
-        let wanted = (service, domain);
-        let found = |n: &Name| (&*n.service, &*n.domain).cmp(&wanted);
+    fn name(&self, service: &str, domain: &str, shard: u32) -> Result<usize, usize> {
+        let wanted = (service, domain, shard);
+        let found = |n: &Name| (&*n.service, &*n.domain, n.shard).cmp(&wanted);
         self.names.binary_search_by(found)
     }
 
     /// Puts a target into its pool; the index of the pool.
     fn put(&mut self, view: TargetView) -> usize {
-        let at = self.pool(&view.service, &view.domain);
+        let at = self.pool(&view);
         for (other, pool) in self.pools.iter_mut().enumerate() {
             if other != at {
                 // A later lifetime of the name may have another service.
@@ -160,12 +161,13 @@
     }
 
     /// The index of a pool, which is made if there is none.
-    fn pool(&mut self, service: &Arc<str>, domain: &Arc<str>) -> usize {
-        let found = self.name(service, domain);
+    fn pool(&mut self, view: &TargetView) -> usize {
+        let found = self.name(&view.service, &view.domain, view.shard);
         let at = found.unwrap_or_else(|at| {
             let name = Name {
-                service: Arc::clone(service),
-                domain: Arc::clone(domain),
+                service: Arc::clone(&view.service),
+                domain: Arc::clone(&view.domain),
+                shard: view.shard,
                 pool: self.pools.len(),
             };
             self.pools.push(Pool::default());
--- a/crates/pimento_broker/src/order.rs
+++ b/crates/pimento_broker/src/order.rs
@@ -3,11 +3,13 @@
 use pimento_core::hash;
 use std::{cmp::Ordering, sync::Arc};
 
-/// A failure domain with targets of a service.
+/// A shard of the targets that a service has in a failure domain.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Place {
     /// The failure domain.
     pub domain: Arc<str>,
+    /// The number of the shard.
+    pub shard: u32,
     /// Its region.
     pub region: Arc<str>,
     /// The places on its targets.
@@ -34,7 +36,7 @@
 /// Sets the choice of keeping and passing on off from that of a domain.
 const KEEP: u64 = 0x6b65_6570;
 
-/// Orders failure domains for a request that came in at one.
+/// Orders shards for a request that came in at a failure domain.
 ///
 /// The load that it answers: regions with equal numbers of callers and unequal
 /// numbers of targets. A region keeps what its part of all places can carry;
@@ -60,7 +62,7 @@
             } else {
                 surplus(places, p, fair).max(LEFTOVER)
             };
-            (home != stays, score(object, &p.domain, weight), p)
+            (home != stays, score(object, p, weight), p)
         })
         .collect();
     ranked.sort_by(|a, b| {
@@ -75,7 +77,7 @@
     regional.map(|p| p.slots).sum()
 }
 
-/// A domain's share of what its region has beyond its part.
+/// A shard's share of what its region has beyond its part.
 fn surplus(places: &[Place], place: &Place, fair: f64) -> f64 {
     let slots = f64::from(region_slots(places, &place.region));
     let spare = (slots - fair).max(0.0);
@@ -84,7 +86,8 @@
 
 /// Weighted rendezvous hashing: the greatest score is chosen in proportion to
 /// the weights, and a domain that comes or goes moves only its own requests.
-fn score(object: u64, domain: &str, weight: f64) -> f64 {
-    let lot = hash::unit(object, hash::fnv([domain.as_bytes()]));
+fn score(object: u64, place: &Place, weight: f64) -> f64 {
+    let parts = [place.domain.as_bytes(), &place.shard.to_le_bytes()];
+    let lot = hash::unit(object, hash::fnv(parts));
     -weight / lot.max(f64::MIN_POSITIVE).ln()
 }
--- a/crates/pimento_broker/src/target.rs
+++ b/crates/pimento_broker/src/target.rs
@@ -36,6 +36,8 @@
     pub service: Arc<str>,
     /// The failure domain.
     pub domain: Arc<str>,
+    /// The shard of the service's targets there that it is in.
+    pub shard: u32,
     /// The requests that it runs at a time.
     pub slots: u32,
     /// Whether it may get requests.
--- a/crates/pimento_broker/tests/support/mod.rs
+++ b/crates/pimento_broker/tests/support/mod.rs
@@ -97,6 +97,7 @@
         seed: hash::fnv([id.as_bytes()]),
         service: Arc::from(SERVICE),
         domain: Arc::from(domain),
+        shard: 0,
         slots,
         open: true,
         cold_until: Time::ZERO,
@@ -109,6 +110,7 @@
         id: AskId { process: 1, serial },
         service: Arc::from(SERVICE),
         domain: Arc::from("d0"),
+        shard: 0,
         object: None,
         home: true,
         priority: 1,
@@ -387,6 +389,7 @@
 pub fn place(domain: usize, region: usize, targets: usize, slots: u32) -> Place {
     Place {
         domain: Arc::from(format!("d{domain}")),
+        shard: 0,
         region: Arc::from(format!("r{region}")),
         slots: targets as u32 * slots,
     }
--- a/crates/pimento_fleet/src/actor.rs
+++ b/crates/pimento_fleet/src/actor.rs
@@ -204,6 +204,8 @@
     pub service: Arc<str>,
     /// The failure domain whose targets are meant.
     pub domain: Arc<str>,
+    /// The shard of the targets there.
+    pub shard: u32,
     /// What the request is about.
     pub object: Option<u64>,
     /// Whether other requests about the same come to this failure domain first.
@@ -242,6 +244,7 @@
             serial: self.serial,
             service: self.service.to_string(),
             domain: self.domain.to_string(),
+            shard: self.shard,
             object: self.object,
             home: self.home,
             priority: self.priority,
--- a/crates/pimento_fleet/src/board.rs
+++ b/crates/pimento_fleet/src/board.rs
@@ -14,15 +14,17 @@
     pub service: Arc<str>,
     /// The failure domain.
     pub domain: Arc<str>,
+    /// The shard of the service's targets there that it is in.
+    pub shard: u32,
     /// The requests that it runs at a time.
     pub slots: u32,
 }
 
-/// The failure domains with targets of a service.
+/// The shards of a service's targets.
 #[derive(Clone, Debug)]
 struct Spots {
     service: Arc<str>,
-    /// Sorted by failure domain.
+    /// Sorted by failure domain and number.
     places: Vec<Place>,
 }
 
@@ -50,7 +52,7 @@
         &self.targets
     }
 
-    /// The failure domains with targets of a service.
+    /// The shards of a service's targets.
     pub fn places(&self, service: &str) -> &[Place] {
         let found = self.spot(service).ok();
         found.map_or(&[], |i| &self.spots[i].places)
@@ -83,11 +85,12 @@
             at
         });
         let places = &mut self.spots[at].places;
-        match places.binary_search_by(|p| p.domain.cmp(&target.domain)) {
+        match find_place(places, target) {
             Ok(i) => places[i].slots += target.slots,
             Err(i) => {
                 let place = Place {
                     domain: Arc::clone(&target.domain),
+                    shard: target.shard,
                     region: Arc::clone(region),
                     slots: target.slots,
                 };
@@ -101,7 +104,7 @@
             return;
         };
         let places = &mut self.spots[at].places;
-        let Ok(i) = places.binary_search_by(|p| p.domain.cmp(&target.domain)) else {
+        let Ok(i) = find_place(places, target) else {
             return;
         };
         places[i].slots = places[i].slots.saturating_sub(target.slots);
@@ -118,3 +121,8 @@
         self.spots.binary_search_by(|s| (*s.service).cmp(service))
     }
 }
+
+fn find_place(places: &[Place], target: &TargetInfo) -> Result<usize, usize> {
+    let wanted = (&target.domain, target.shard);
+    places.binary_search_by(|p| (&p.domain, p.shard).cmp(&wanted))
+}
--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -9,6 +9,7 @@
     message::{Body, DonePlace},
     news::Confirmed,
     parts::Assembly,
+    shards::Shards,
     spread::Spread,
     suspects::Suspects,
 };
@@ -44,6 +45,8 @@
     pub(crate) catalog: Arc<Catalog>,
     /// The routes of the catalog.
     pub(crate) routes: Arc<RouteTable>,
+    /// How the targets of the registry are divided.
+    pub(crate) shards: Shards,
     /// The targets of the registry that may get requests.
     pub(crate) board: Arc<Board>,
     pub(crate) broker: Broker,
@@ -81,6 +84,7 @@
             registry: Registry::default(),
             catalog: Arc::default(),
             routes: Arc::default(),
+            shards: Shards::default(),
             board: Arc::default(),
             broker: Broker::default(),
             spread: Spread::default(),
--- a/crates/pimento_fleet/src/granting.rs
+++ b/crates/pimento_fleet/src/granting.rs
@@ -20,7 +20,7 @@
     /// Asks for a place; [`Effect::Decided`] tells what became of it.
     pub fn ask(&mut self, now: Time, acquire: &Acquire) -> Vec<Effect> {
         let ask = acquire.message(self.config.me.process);
-        let Some(to) = self.granter(now, &ask.domain, &ask.service) else {
+        let Some(to) = self.granter(now, &ask) else {
             return self.grant(now, &ask);
         };
         let message = send(to, Body::Ask(ask.clone()));
@@ -213,18 +213,20 @@
         Effect::Decided { serial, verdict }
     }
 
-    /// The process that grants the places of a service's targets in a failure
-    /// domain; none if that is this one.
+    /// The process that grants the places of a shard of a service's targets in
+    /// a failure domain; none if that is this one.
     ///
     /// All processes that know the same ones choose alike. Only one of the
     /// domain is chosen while any lives there; without, one of its region.
-    fn granter(&self, now: Time, domain: &str, service: &str) -> Option<SocketAddr> {
+    fn granter(&self, now: Time, ask: &AskMessage) -> Option<SocketAddr> {
+        let domain = ask.domain.as_str();
         let region = self.config.region(domain);
         let usable = |n: &&Node| n.ready() && !self.suspects.holds(now, &n.address);
         let entries = || self.members.of(Role::Entry).filter(usable);
         let me = &self.config.me;
         let own = me.role == Role::Entry as i32 && me.stage == Stage::Ready as i32;
-        let key = |address: &str| hash::weight(service, address);
+        let shard = u64::from(ask.shard);
+        let key = |address: &str| hash::mix(hash::weight(&ask.service, address) ^ shard);
         let local = entries().filter(|n| n.info.domain == domain);
         let regional = entries().filter(|n| self.config.region(&n.info.domain) == region);
         let best = |nodes: Vec<&Node>, own: bool| {
@@ -290,6 +292,7 @@
         },
         service: Arc::from(ask.service.as_str()),
         domain: Arc::from(ask.domain.as_str()),
+        shard: ask.shard,
         object: ask.object,
         home: ask.home,
         priority: ask.priority,
--- a/crates/pimento_fleet/src/lib.rs
+++ b/crates/pimento_fleet/src/lib.rs
@@ -18,6 +18,7 @@
 mod news;
 mod parts;
 mod receive;
+mod shards;
 mod spread;
 mod suspects;
 mod view;
--- a/crates/pimento_fleet/src/message.rs
+++ b/crates/pimento_fleet/src/message.rs
@@ -224,6 +224,9 @@
     /// Whether the failure domain is the first one for the object.
     #[prost(bool, tag = "11")]
     pub home: bool,
+    /// The shard of the targets in the failure domain.
+    #[prost(uint32, tag = "12")]
+    pub shard: u32,
 }
 
 /// What became of an ask.
--- a/crates/pimento_fleet/src/view.rs
+++ b/crates/pimento_fleet/src/view.rs
@@ -30,7 +30,7 @@
         self.board.target(id)
     }
 
-    /// The failure domains with targets of a service.
+    /// The shards of a service's targets.
     pub fn places(&self, service: &str) -> &[Place] {
         self.board.places(service)
     }
--- a/crates/pimento_fleet/src/viewing.rs
+++ b/crates/pimento_fleet/src/viewing.rs
@@ -3,6 +3,7 @@
 use crate::{
     Effect, Fleet, Node, Role, Stage, View,
     board::{Board, TargetInfo},
+    shards::{Shards, together},
 };
 use pimento_broker::TargetView;
 use pimento_core::{Time, hash};
@@ -63,6 +64,7 @@
         self.routes = Arc::new(RouteTable::new(&self.catalog));
         self.registry.take_changes();
         let living: Vec<_> = self.registry.living().cloned().collect();
+        self.shards = Shards::new(&living);
         let board = Arc::make_mut(&mut self.board);
         *board = Board::default();
         for target in &living {
@@ -75,8 +77,12 @@
 
     /// Takes the targets that changed since the last call.
     pub(crate) fn apply_changes(&mut self, now: Time) -> Vec<Effect> {
+        let changes = self.registry.take_changes();
+        if changes.iter().any(|id| self.divides_anew(id)) {
+            return self.refresh(now);
+        }
         let mut decided = Vec::new();
-        for id in self.registry.take_changes() {
+        for id in changes {
             let living = self.registry.get(&id).filter(|t| t.stage < GONE);
             let Some(target) = living.cloned() else {
                 Arc::make_mut(&mut self.board).remove(&id);
@@ -90,6 +96,15 @@
         self.broker_effects(decided)
     }
 
+    /// Whether the change of a target makes another number of shards.
+    fn divides_anew(&self, id: &str) -> bool {
+        let Some(target) = self.registry.get(id) else {
+            return false;
+        };
+        let others = self.registry.living().filter(|t| together(t, target));
+        self.shards.differ(target, others.count())
+    }
+
     /// Lets requests find a target, or no longer.
     fn show(&mut self, target: &Target) {
         let address = target.address.parse();
@@ -103,6 +118,7 @@
                     address,
                     service: Arc::from(target.service.as_str()),
                     domain: Arc::from(target.domain.as_str()),
+                    shard: self.shards.of(target),
                     slots: target.slots,
                 };
                 board.set(info, region);
@@ -119,6 +135,7 @@
             seed: hash::fnv([target.id.as_bytes(), &target.born.to_le_bytes()]),
             service: Arc::from(target.service.as_str()),
             domain: Arc::from(target.domain.as_str()),
+            shard: self.shards.of(target),
             slots: target.slots,
             open: self.takes_requests(target),
             cold_until: self.registry.cold_until(&target.id),
--- a/crates/pimento_fleet/tests/world/mod.rs
+++ b/crates/pimento_fleet/tests/world/mod.rs
@@ -119,6 +119,7 @@
         serial,
         service: "s".into(),
         domain: "a".into(),
+        shard: 0,
         object: None,
         home: true,
         priority: 1,
--- a/crates/pimento_gateway/src/placing.rs
+++ b/crates/pimento_gateway/src/placing.rs
@@ -7,10 +7,10 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
-/// The failure domains that a request tries.
-const DOMAINS: usize = 4;
+/// The shards that a request tries.
+const SHARDS: usize = 4;
 
-/// The granting VMs of a failure domain that a request asks while none answers.
+/// The granting VMs of a shard that a request asks while none answers.
 const GRANTERS: usize = 3;
 
 /// A place that a request asks for or has; it is given back when dropped.
@@ -61,13 +61,13 @@
     Unusable,
 }
 
-/// Asks in one failure domain after the other until a place is granted.
+/// Asks for one shard after the other until a place is granted.
 pub(crate) async fn place(
     inner: &Rc<Inner>,
     need: &Need<'_>,
 ) -> Result<(Arc<str>, Permit), NoPlace> {
     let mut refusal = NoPlace::Unusable;
-    for (i, place) in need.places.iter().take(DOMAINS).enumerate() {
+    for (i, place) in need.places.iter().take(SHARDS).enumerate() {
         let home = i == 0;
         let mut verdict = ask(inner, need, place, home).await;
         for _ in 1..GRANTERS {
@@ -101,7 +101,7 @@
     };
     if let Some(dropped) = inner.may_log(true) {
         event!(inner.log, Event::PlaceRefused, "id" => need.id, "service" => &**need.service,
-            "domain" => &*place.domain, "places" => place.slots, "cause" => cause,
+            "domain" => &*place.domain, "shard" => place.shard, "places" => place.slots, "cause" => cause,
             "wait_ms" => wait.map(|w| w.as_millis() as u64), "dropped" => dropped);
     }
 }
@@ -130,6 +130,7 @@
         serial,
         service: Arc::clone(need.service),
         domain: Arc::clone(&place.domain),
+        shard: place.shard,
         object: need.object,
         home,
         priority: need.priority,
