--- a/crates/pimento_broker/tests/closures.rs
+++ b/crates/pimento_broker/tests/closures.rs
@@ -27,7 +27,7 @@
     let mut closures = Closures::default();
     let service = Arc::from("service");
     let here = place(0, 0, 2, 6);
-    closures.note(START, &service, &here, Duration::from_secs(60));
+    closures.note(START, &service, &here, Duration::from_mins(1));
     let later = START + Duration::from_millis(300);
     assert!(!closures.holds(later, &service, &here));
 }
--- a/crates/pimento_fleet/src/actor.rs
+++ b/crates/pimento_fleet/src/actor.rs
@@ -359,6 +359,19 @@
     }
 }
 
+/// Notes the share of this VM's link that requests take, in percent.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct SetLoad(pub u32);
+
+impl Handler<SetLoad> for FleetActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: SetLoad, _: &mut Context<Self>) {
+        self.fleet.set_load(msg.0);
+    }
+}
+
 /// Asks where callers of a failure domain are to go.
 #[derive(Debug, Message)]
 #[rtype(result = "Vec<SocketAddr>")]
--- a/crates/pimento_fleet/src/beats.rs
+++ b/crates/pimento_fleet/src/beats.rs
@@ -15,6 +15,12 @@
         self.config.seeds = seeds;
     }
 
+    /// Notes the share of this VM's link that requests take, in percent; the
+    /// others are told of it when they are next told that this process lives.
+    pub const fn set_load(&mut self, percent: u32) {
+        self.load = percent;
+    }
+
     /// Notes how far this process has come and tells the others.
     pub fn set_stage(&mut self, now: Time, stage: Stage) -> Vec<Effect> {
         self.config.me.stage = stage as i32;
@@ -66,6 +72,7 @@
                 process: self.config.me.process,
                 stage: self.config.me.stage,
                 revision: self.catalog.revision(),
+                load: self.load,
             };
             send(to, Body::Alive(alive))
         });
@@ -91,6 +98,7 @@
         let beat = Beat {
             info: self.config.me.clone(),
             revision: self.catalog.revision(),
+            load: self.load,
             buckets: self.registry.buckets().to_vec(),
             roster: match self.config.me.role() {
                 Role::Entry => self.roster,
--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -73,6 +73,8 @@
     pub(crate) changed: Time,
     /// Counts the control VMs that were asked in turn.
     pub(crate) turn: usize,
+    /// The share of this VM's link that requests take, in percent.
+    pub(crate) load: u32,
 }
 
 impl Fleet {
@@ -101,6 +103,7 @@
             next_beat: Time::ZERO,
             changed: Time::ZERO,
             turn: 0,
+            load: 0,
         }
     }
 
--- a/crates/pimento_fleet/src/lib.rs
+++ b/crates/pimento_fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod granting;
 mod members;
 mod message;
+mod naming;
 mod news;
 mod parts;
 mod receive;
@@ -24,7 +25,7 @@
 mod view;
 mod viewing;
 
-pub use actor::{Acquire, Evidence, FleetActor, GetEntries, Release, Report, SetCatalog};
+pub use actor::{Acquire, Evidence, FleetActor, GetEntries, Release, Report, SetCatalog, SetLoad};
 pub use actor::{SetStage, StartError};
 pub use board::{Board, TargetInfo};
 pub use config::FleetConfig;
--- a/crates/pimento_fleet/src/members.rs
+++ b/crates/pimento_fleet/src/members.rs
@@ -30,6 +30,9 @@
     pub heard: Time,
     /// When the followed control VM last named it.
     pub named: Time,
+    /// The share of its link that requests take, in percent, if it is an entry
+    /// VM.
+    pub load: u32,
     /// The newest revision of items that it is known to have.
     pub revision: u64,
     /// When it got there.
@@ -103,6 +106,7 @@
                     info: info.clone(),
                     heard: now,
                     named: now,
+                    load: 0,
                     revision: 0,
                     reached: now,
                     sent: None,
--- a/crates/pimento_fleet/src/message.rs
+++ b/crates/pimento_fleet/src/message.rs
@@ -122,6 +122,9 @@
     /// The revision of its items.
     #[prost(uint64, tag = "3")]
     pub revision: u64,
+    /// The share of its link that requests take, in percent.
+    #[prost(uint32, tag = "4")]
+    pub load: u32,
 }
 
 /// A process lives, and this is what it has.
@@ -139,6 +142,9 @@
     /// The digest of the roster that it has.
     #[prost(fixed64, tag = "4")]
     pub roster: u64,
+    /// The share of its link that requests take, in percent.
+    #[prost(uint32, tag = "5")]
+    pub load: u32,
 }
 
 /// The answer to a beat.
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -67,6 +67,7 @@
         let mut stuck = Vec::new();
         if let Some(node) = self.members.get_mut(&from) {
             node.reach(now, beat.revision);
+            node.load = beat.load;
             if full {
                 node.follows = Some(now);
                 stuck = node.stuck(&beat.buckets, differing);
@@ -109,6 +110,7 @@
         let mut effects = Vec::new();
         if let Some(node) = self.members.get_mut(&from) {
             node.reach(now, alive.revision);
+            node.load = alive.load;
             // It follows another control VM by now.
             node.follows = None;
             if node.info.stage != alive.stage {
--- a/crates/pimento_fleet/src/viewing.rs
+++ b/crates/pimento_fleet/src/viewing.rs
@@ -9,32 +9,13 @@
 use pimento_core::{Time, hash};
 use pimento_items::RouteTable;
 use pimento_registry::Target;
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
 /// The stages of targets as reports carry them.
 const READY: i32 = pimento_registry::Stage::Ready as i32;
 const GONE: i32 = pimento_registry::Stage::Gone as i32;
 
 impl Fleet {
-    /// Where callers of a failure domain are to go.
-    pub fn entries(&self, now: Time, domain: &str) -> Vec<SocketAddr> {
-        let region = self.config.region(domain);
-        let ready = self.alive(now).filter(|n| n.is(Role::Entry) && n.ready());
-        let ready: Vec<_> = ready.collect();
-        let near = ready.iter().filter(|n| n.info.domain == domain);
-        let same_region = |n: &&&Node| self.config.region(&n.info.domain) == region;
-        let regional = ready.iter().filter(same_region);
-        let choices = [
-            near.copied().collect::<Vec<_>>(),
-            regional.copied().collect(),
-            ready.clone(),
-        ];
-        let chosen = choices.into_iter().find(|nodes| !nodes.is_empty());
-        let nodes = chosen.unwrap_or_default();
-        let callers = nodes.iter().filter_map(|n| n.info.callers.parse().ok());
-        callers.collect()
-    }
-
     /// The processes that this one knows of.
     pub fn nodes(&self, now: Time) -> Vec<Node> {
         self.alive(now).cloned().collect()
--- a/crates/pimento_gateway/src/answer.rs
+++ b/crates/pimento_gateway/src/answer.rs
@@ -4,6 +4,7 @@
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::{
     HeaderMap, Response, StatusCode,
+    body::Body as _,
     header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
 use std::time::Duration;
@@ -50,6 +51,14 @@
 }
 
 impl Answer {
+    /// The size of the body as far as it is known, in bytes.
+    pub(crate) fn size(&self) -> u64 {
+        match self {
+            Self::Target { body, .. } => body.size_hint().lower(),
+            _ => 0,
+        }
+    }
+
     /// Why, for people; empty for a target's answer.
     pub const fn reason(&self) -> &'static str {
         match self {
--- a/crates/pimento_gateway/src/course.rs
+++ b/crates/pimento_gateway/src/course.rs
@@ -89,6 +89,8 @@
         budgets.request(now, &plan.service, &self.inner.repeats, vms);
         let answer = self.attempts(&plan).await;
         self.log(Some(&plan), &answer);
+        let request = self.inbound.body.size();
+        self.inner.traffic.note(request, answer.size());
         answer
     }
 
--- a/crates/pimento_gateway/src/gateway.rs
+++ b/crates/pimento_gateway/src/gateway.rs
@@ -8,12 +8,13 @@
     lines::Lines,
     metrics::Metrics,
     pool::Pool,
+    traffic::Traffic,
 };
 use actix::Addr;
 use hyper::{Request, Response, body::Incoming};
 use pimento_broker::Closures;
 use pimento_core::Clock;
-use pimento_fleet::{FleetActor, Shared};
+use pimento_fleet::{FleetActor, SetLoad, Shared};
 use pimento_items::Split;
 use pimento_log::{Event, Logger, event};
 use std::{
@@ -46,6 +47,8 @@
     pub repeat_slack: f64,
     /// See [`Self::repeat_ratio`].
     pub repeat_window: Duration,
+    /// What the VM's link carries each way, in bytes a second; 0 if unknown.
+    pub link: f64,
 }
 
 /// The gateway of an entry VM.
@@ -65,6 +68,7 @@
     pub pool: Rc<Pool>,
     pub budgets: Budgets,
     pub closures: RefCell<Closures>,
+    pub traffic: Traffic,
     /// How the routes with several services are divided, by name.
     pub splits: RefCell<Vec<(Arc<str>, Split)>>,
     pub serial: Cell<u64>,
@@ -87,6 +91,7 @@
             slack: config.repeat_slack,
             window: config.repeat_window,
         };
+        let link = config.link;
         let inner = Rc::new(Inner {
             config,
             repeats,
@@ -99,6 +104,7 @@
             pool: Rc::default(),
             budgets: Budgets::default(),
             closures: RefCell::default(),
+            traffic: Traffic::new(link),
             splits: RefCell::default(),
             serial: Cell::new(1),
         });
@@ -109,6 +115,7 @@
                 pool.sweep();
             }
         });
+        actix_rt::spawn(tell_load(Rc::clone(&inner)));
         Ok(Self(inner))
     }
 
@@ -150,6 +157,14 @@
     }
 }
 
+/// Tells how much of the link requests take, for as long as the VM serves.
+async fn tell_load(inner: Rc<Inner>) {
+    loop {
+        tokio::time::sleep(Traffic::SPAN).await;
+        inner.fleet.do_send(SetLoad(inner.traffic.percent()));
+    }
+}
+
 impl Inner {
     /// Whether a line about a request may be written; the lines that were not
     /// written before it, if so.
--- a/crates/pimento_gateway/src/inbound.rs
+++ b/crates/pimento_gateway/src/inbound.rs
@@ -43,6 +43,16 @@
     Stream(Bytes, Incoming),
 }
 
+impl InboundBody {
+    /// The size as far as it is known, in bytes.
+    pub(crate) fn size(&self) -> u64 {
+        match self {
+            Self::Whole(bytes) => bytes.len() as u64,
+            Self::Stream(read, rest) => read.len() as u64 + rest.size_hint().lower(),
+        }
+    }
+}
+
 impl Inbound {
     /// Reads the head, and the body unless it is long.
     pub(crate) async fn read(
--- a/crates/pimento_gateway/src/lib.rs
+++ b/crates/pimento_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod placing;
 mod pool;
 mod stop;
+mod traffic;
 
 pub use accept::{Idle, serve};
 pub use answer::{Answer, BoxError, ResponseBody, plain, text};
--- a/crates/pimento_gateway/tests/support/mod.rs
+++ b/crates/pimento_gateway/tests/support/mod.rs
@@ -189,6 +189,7 @@
             regions: 1,
             repeat_ratio: 0.2,
             repeat_slack: 100.0,
+            link: 0.0,
             repeat_window: Duration::from_secs(10),
         };
         let log = pimento_log::discard();
