--- a/crates/pimento_fleet/src/asks.rs
+++ b/crates/pimento_fleet/src/asks.rs
@@ -1,11 +1,9 @@
 //! Asks of this process that wait for another VM's verdict.
 
-use crate::message::AskMessage;
+use crate::{message::AskMessage, patience::Patience};
 use pimento_core::Time;
 use std::{net::SocketAddr, time::Duration};
 
-/// The time after which an ask without any answer is sent again.
-const AGAIN: Duration = Duration::from_millis(80);
 /// How often an ask is sent until the other VM counts as out of reach.
 const TRIES: u32 = 3;
 /// The time after which an ask that waits there is sent again, in case the
@@ -29,37 +27,49 @@
 
 /// Asks of this process that wait for another VM's verdict.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Asks(Vec<Pending>);
+pub(crate) struct Asks {
+    pending: Vec<Pending>,
+    patience: Patience,
+}
 
 impl Asks {
     pub(crate) fn begin(&mut self, now: Time, to: SocketAddr, ask: AskMessage) {
         let deadline = now + Duration::from_millis(ask.deadline_ms);
-        self.0.push(Pending {
+        self.pending.push(Pending {
             ask,
             to,
             since: now,
-            due: now + AGAIN,
+            due: now + self.patience.wait(),
             deadline,
             tries: 1,
             queued: false,
         });
     }
 
+    /// Notes that a process answered an ask, unless it may have been sent
+    /// twice: which one was answered then, nobody knows.
+    pub(crate) fn answered(&mut self, now: Time, serial: u64) {
+        let first = |p: &&Pending| p.ask.serial == serial && p.tries == 1 && !p.queued;
+        if let Some(pending) = self.pending.iter().find(first) {
+            self.patience.note(now.since(pending.since));
+        }
+    }
+
     /// Takes an ask that has its verdict.
     pub(crate) fn take(&mut self, serial: u64) -> Option<Pending> {
-        let at = self.0.iter().position(|p| p.ask.serial == serial)?;
-        Some(self.0.swap_remove(at))
+        let at = self.pending.iter().position(|p| p.ask.serial == serial)?;
+        Some(self.pending.swap_remove(at))
     }
 
     /// Takes the asks that a process never answered.
     pub(crate) fn take_unanswered(&mut self, to: &SocketAddr) -> Vec<Pending> {
         let unanswered = |p: &mut Pending| p.to == *to && !p.queued;
-        self.0.extract_if(.., unanswered).collect()
+        self.pending.extract_if(.., unanswered).collect()
     }
 
     /// Notes that an ask waits at the other VM.
     pub(crate) fn queued(&mut self, now: Time, serial: u64) {
-        if let Some(pending) = self.0.iter_mut().find(|p| p.ask.serial == serial) {
+        if let Some(pending) = self.pending.iter_mut().find(|p| p.ask.serial == serial) {
             pending.tries = 0;
             pending.queued = true;
             pending.due = now + POLL;
@@ -69,11 +79,12 @@
     /// Asks to send again, and asks that are given up.
     pub(crate) fn due(&mut self, now: Time) -> (Vec<(SocketAddr, AskMessage)>, Vec<Pending>) {
         let over = |p: &mut Pending| p.deadline <= now || (p.due <= now && p.tries >= TRIES);
-        let given_up = self.0.extract_if(.., over).collect();
+        let given_up = self.pending.extract_if(.., over).collect();
+        let wait = self.patience.wait();
         let mut again = Vec::new();
-        for pending in self.0.iter_mut().filter(|p| p.due <= now) {
+        for pending in self.pending.iter_mut().filter(|p| p.due <= now) {
             pending.tries += 1;
-            pending.due = now + AGAIN;
+            pending.due = now + wait;
             again.push((pending.to, pending.remaining(now)));
         }
         (again, given_up)
--- a/crates/pimento_fleet/src/granting.rs
+++ b/crates/pimento_fleet/src/granting.rs
@@ -115,6 +115,7 @@
         let Some(kind) = message.kind else {
             return Vec::new();
         };
+        self.asks.answered(now, serial);
         if matches!(kind, VerdictKind::Queued(_)) {
             self.asks.queued(now, serial);
             return Vec::new();
--- a/crates/pimento_fleet/src/lib.rs
+++ b/crates/pimento_fleet/src/lib.rs
@@ -18,6 +18,7 @@
 mod naming;
 mod news;
 mod parts;
+mod patience;
 mod receive;
 mod shards;
 mod spread;
--- a/crates/pimento_fleet/tests/granting.rs
+++ b/crates/pimento_fleet/tests/granting.rs
@@ -176,3 +176,22 @@
     let decided = (0..10).filter(|s| world.verdict(asking, *s).is_some());
     assert_eq!(decided.count(), 10);
 }
+
+#[test]
+fn late_answers_are_not_lost() {
+    // The asking VM's link is full: answers take 160 ms for a while.
+    let mut world = settled(1);
+    let entries = world.of(Role::Entry);
+    let asking = entries[1];
+    let mut suspected = 0;
+    for serial in 0..60 {
+        // The delay grows as a queue does.
+        world.delay = Duration::from_millis((4 * serial).min(160));
+        world.ask(asking, serial);
+        world.run(SECOND / 20);
+        world.done(asking, serial, &answered());
+        suspected += std::mem::take(&mut world.suspected);
+    }
+    world.run(SECOND);
+    assert_eq!(suspected + world.suspected, 0);
+}
--- a/crates/pimento_fleet/tests/world/mod.rs
+++ b/crates/pimento_fleet/tests/world/mod.rs
@@ -33,6 +33,10 @@
     pub processes: Vec<Process>,
     /// The share of datagrams that are lost.
     pub loss: f64,
+    /// How long datagrams take to entry VMs beyond a step.
+    pub delay: Duration,
+    /// How often a process was taken for lost.
+    pub suspected: usize,
     /// The datagrams that were sent.
     pub traffic: Vec<Sent>,
     flying: VecDeque<(Time, SocketAddr, usize, bytes::Bytes)>,
@@ -62,6 +66,8 @@
         now: Time::from_millis(5_000),
         processes: Vec::new(),
         loss: 0.0,
+        delay: Duration::ZERO,
+        suspected: 0,
         traffic: Vec::new(),
         flying: VecDeque::new(),
         rng: SmallRng::seed_from_u64(seed),
@@ -272,7 +278,7 @@
                 }
                 Effect::Known { ticket } => self.processes[i].known.push(ticket),
                 Effect::Changed => drop(self.processes[i].fleet.view()),
-                Effect::Suspected(_) => {}
+                Effect::Suspected(_) => self.suspected += 1,
             }
         }
     }
@@ -294,7 +300,9 @@
                 continue;
             }
             let from = self.processes[from].address;
-            self.flying.push_back((self.now + STEP, from, to, datagram));
+            let at = self.now + STEP + self.delay;
+            let place = self.flying.partition_point(|(other, ..)| *other <= at);
+            self.flying.insert(place, (at, from, to, datagram));
         }
     }
 }
