--- a/crates/pimento_fleet/src/beats.rs
+++ b/crates/pimento_fleet/src/beats.rs
@@ -109,7 +109,7 @@
     }
 
     /// Serves once enough is known.
-    pub(crate) fn mature(&mut self) -> Vec<Effect> {
+    pub(crate) fn become_ready(&mut self) -> Vec<Effect> {
         let starting = self.config.me.stage == Stage::Starting as i32;
         let known = self.catalog.revision() > 0;
         let entry = self.config.me.role == Role::Entry as i32;
--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -116,7 +116,7 @@
             self.members.forget(now);
             self.registry.forget(now);
             effects.extend(self.beats(now));
-            effects.extend(self.mature());
+            effects.extend(self.become_ready());
         }
         self.suspects.forget(now);
         self.excuse_lost(now);
--- a/crates/pimento_fleet/src/granting.rs
+++ b/crates/pimento_fleet/src/granting.rs
@@ -61,8 +61,10 @@
     /// Leaves a process out that did not answer, and gives up on what else it
     /// was asked and did not answer.
     fn leave_out(&mut self, now: Time, address: SocketAddr) -> Vec<Effect> {
-        self.suspects.note(now, address);
-        let mut effects = vec![Effect::Suspected(address)];
+        let mut effects = Vec::new();
+        if self.suspects.note(now, address) {
+            effects.push(Effect::Suspected(address));
+        }
         for pending in self.asks.take_unanswered(&address) {
             effects.extend(self.give_up(&pending));
         }
@@ -80,7 +82,12 @@
     }
 
     /// Takes another process's ask.
-    pub(crate) fn asked(&mut self, now: Time, from: SocketAddr, ask: &AskMessage) -> Vec<Effect> {
+    pub(crate) fn take_ask(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        ask: &AskMessage,
+    ) -> Vec<Effect> {
         if self.config.me.stage != Stage::Ready as i32 {
             // What this process knows of targets is not enough, or it ends.
             let kind = Some(VerdictKind::Away(true));
@@ -105,7 +112,7 @@
     }
 
     /// Takes the verdict on an ask of this process.
-    pub(crate) fn decided(
+    pub(crate) fn take_verdict(
         &mut self,
         now: Time,
         from: SocketAddr,
@@ -155,7 +162,7 @@
     }
 
     /// Takes places back that other processes return.
-    pub(crate) fn returned(&mut self, now: Time, done: &Done) -> Vec<Effect> {
+    pub(crate) fn take_back(&mut self, now: Time, done: &Done) -> Vec<Effect> {
         let mut effects = Vec::new();
         for place in &done.places {
             let id = AskId {
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -25,11 +25,11 @@
             self.suspects.clear(&from);
         }
         match body {
-            Body::Beat(beat) => self.beaten(now, from, &beat),
-            Body::Alive(alive) => self.lives(now, from, &alive),
+            Body::Beat(beat) => self.take_beat(now, from, &beat),
+            Body::Alive(alive) => self.take_sign(now, from, &alive),
             Body::Unknown(_) => vec![self.full_beat(from)],
-            Body::Pong(pong) => self.ponged(now, from, &pong),
-            Body::Roster(roster) => self.listed(now, from, &roster),
+            Body::Pong(pong) => self.take_pong(now, from, &pong),
+            Body::Roster(roster) => self.take_roster(now, from, &roster),
             Body::Items(items) => self.merge_items(now, items),
             Body::Targets(targets) => self.compare(now, from, &targets),
             Body::Announce(news) => {
@@ -49,9 +49,9 @@
                 self.confirm(&target);
                 effects
             }
-            Body::Ask(ask) => self.asked(now, from, &ask),
-            Body::Verdict(verdict) => self.decided(now, from, verdict),
-            Body::Done(done) => self.returned(now, &done),
+            Body::Ask(ask) => self.take_ask(now, from, &ask),
+            Body::Verdict(verdict) => self.take_verdict(now, from, verdict),
+            Body::Done(done) => self.take_back(now, &done),
             Body::Bye(process) => {
                 self.members.leave(&from, process);
                 vec![Effect::Changed]
@@ -59,7 +59,7 @@
         }
     }
 
-    fn beaten(&mut self, now: Time, from: SocketAddr, beat: &Beat) -> Vec<Effect> {
+    fn take_beat(&mut self, now: Time, from: SocketAddr, beat: &Beat) -> Vec<Effect> {
         let changed = self.members.hear(now, from, &beat.info);
         let full = !beat.buckets.is_empty();
         let differing = self.differing(&beat.buckets);
@@ -103,7 +103,7 @@
         effects
     }
 
-    fn lives(&mut self, now: Time, from: SocketAddr, alive: &Alive) -> Vec<Effect> {
+    fn take_sign(&mut self, now: Time, from: SocketAddr, alive: &Alive) -> Vec<Effect> {
         if !self.members.alive(now, &from, alive.process) {
             return vec![send(from, Body::Unknown(true))];
         }
@@ -139,7 +139,7 @@
         send(to, Body::Targets(Targets { buckets, targets }))
     }
 
-    fn ponged(&mut self, now: Time, from: SocketAddr, pong: &Pong) -> Vec<Effect> {
+    fn take_pong(&mut self, now: Time, from: SocketAddr, pong: &Pong) -> Vec<Effect> {
         let changed = self.members.hear(now, from, &pong.info);
         let entry = self.config.me.role == Role::Entry as i32;
         if pong.roster != 0 && entry {
@@ -148,14 +148,14 @@
                 self.members.confirm(now);
             }
         }
-        let mut effects = self.mature();
+        let mut effects = self.become_ready();
         if changed {
             effects.push(Effect::Changed);
         }
         effects
     }
 
-    fn listed(&mut self, now: Time, from: SocketAddr, roster: &Roster) -> Vec<Effect> {
+    fn take_roster(&mut self, now: Time, from: SocketAddr, roster: &Roster) -> Vec<Effect> {
         let me = self.config.me.socket();
         let read = |info: &NodeInfo| Some((info.socket()?, info.clone()));
         let nodes = roster.nodes.iter().filter_map(read);
@@ -185,7 +185,7 @@
         }
         self.members.replace(now, &news);
         self.members.hear_again(now, &from);
-        let mut effects = self.mature();
+        let mut effects = self.become_ready();
         effects.push(Effect::Changed);
         effects
     }
@@ -200,7 +200,7 @@
             catalog.reach(items.to);
         }
         let mut effects = self.refresh(now);
-        effects.extend(self.mature());
+        effects.extend(self.become_ready());
         effects.push(Effect::Changed);
         effects
     }
@@ -211,7 +211,7 @@
         let mut effects = self.take_targets(now, &message.targets);
         if !message.buckets.is_empty() {
             self.level = true;
-            effects.extend(self.mature());
+            effects.extend(self.become_ready());
         }
         let inside = message.buckets.iter();
         let own = inside.flat_map(|b| self.registry.bucket(now, *b as usize));
--- a/crates/pimento_fleet/src/suspects.rs
+++ b/crates/pimento_fleet/src/suspects.rs
@@ -25,8 +25,9 @@
 pub(crate) struct Suspects(Vec<Suspect>);
 
 impl Suspects {
-    /// Leaves a process out.
-    pub(crate) fn note(&mut self, now: Time, address: SocketAddr) {
+    /// Leaves a process out; whether it was not left out before.
+    pub(crate) fn note(&mut self, now: Time, address: SocketAddr) -> bool {
+        let news = !self.holds(now, &address);
         let found = self.0.iter().position(|s| s.address == address);
         let span = match found.map(|at| self.0.swap_remove(at)) {
             // Requests that were under way tell the same.
@@ -40,6 +41,7 @@
             span,
             until,
         });
+        news
     }
 
     /// No longer leaves a process out.
--- a/crates/pimento_gateway/src/course.rs
+++ b/crates/pimento_gateway/src/course.rs
@@ -86,7 +86,7 @@
         };
         let (now, vms) = (self.inner.clock.now(), self.view.vms);
         let budgets = &self.inner.budgets;
-        budgets.request(now, &plan.service, &self.inner.repeats, vms);
+        budgets.request(now, &plan.service, &self.inner.config.repeats, vms);
         let answer = self.attempts(&plan).await;
         self.log(Some(&plan), &answer);
         let request = self.inbound.body.size();
@@ -246,7 +246,7 @@
             return false;
         }
         let (now, vms) = (self.inner.clock.now(), self.view.vms);
-        let repeats = &self.inner.repeats;
+        let repeats = &self.inner.config.repeats;
         self.attempts == 0 || self.inner.budgets.spend(now, &plan.service, repeats, vms)
     }
 
--- a/crates/pimento_gateway/src/gateway.rs
+++ b/crates/pimento_gateway/src/gateway.rs
@@ -40,13 +40,8 @@
     pub region: Arc<str>,
     /// The number of regions.
     pub regions: usize,
-    /// What all VMs together may repeat: for each request, and beyond that
-    /// within the window.
-    pub repeat_ratio: f64,
-    /// See [`Self::repeat_ratio`].
-    pub repeat_slack: f64,
-    /// See [`Self::repeat_ratio`].
-    pub repeat_window: Duration,
+    /// What all VMs together may repeat.
+    pub repeats: Repeats,
     /// What the VM's link carries each way, in bytes a second; 0 if unknown.
     pub link: f64,
 }
@@ -58,7 +53,6 @@
 #[derive(Debug)]
 pub(crate) struct Inner {
     pub config: GatewayConfig,
-    pub repeats: Repeats,
     pub fleet: Addr<FleetActor>,
     pub shared: Shared,
     pub log: Logger,
@@ -86,15 +80,9 @@
         shared: Shared,
         log: Logger,
     ) -> anyhow::Result<Self> {
-        let repeats = Repeats {
-            ratio: config.repeat_ratio,
-            slack: config.repeat_slack,
-            window: config.repeat_window,
-        };
         let link = config.link;
         let inner = Rc::new(Inner {
             config,
-            repeats,
             fleet,
             shared,
             log,
--- a/crates/pimento_gateway/src/lib.rs
+++ b/crates/pimento_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 
 pub use accept::{Idle, serve};
 pub use answer::{Answer, BoxError, ResponseBody, plain, text};
+pub use budgets::Repeats;
 pub use dialect::Dialect;
 pub use gateway::{Gateway, GatewayConfig};
 pub use stop::Stop;
--- a/crates/pimento_gateway/tests/support/mod.rs
+++ b/crates/pimento_gateway/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use actix::Addr;
 use hyper::header::HeaderName;
 use pimento_fleet::{FleetActor, FleetConfig, NodeInfo, Report, Role, SetCatalog, Shared};
-use pimento_gateway::{Dialect, Gateway, GatewayConfig, Stop, serve};
+use pimento_gateway::{Dialect, Gateway, GatewayConfig, Repeats, Stop, serve};
 use pimento_items::{Body, Catalog, Change, Item, Limits, Part, Repeat, Route, Service};
 use pimento_registry::{Stage, Target};
 use std::{
@@ -187,10 +187,12 @@
             dialect: dialect(),
             region: "r".into(),
             regions: 1,
-            repeat_ratio: 0.2,
-            repeat_slack: 100.0,
+            repeats: Repeats {
+                ratio: 0.2,
+                slack: 100.0,
+                window: Duration::from_secs(10),
+            },
             link: 0.0,
-            repeat_window: Duration::from_secs(10),
         };
         let log = pimento_log::discard();
         let gateway = Gateway::new(config, entry.clone(), Arc::clone(&shared), log).unwrap();
