--- a/crates/pimento_broker/src/broker.rs
+++ b/crates/pimento_broker/src/broker.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Ask, AskId, Effect, Report, Wait,
-    pool::{Entry, Place, Pool},
+    pool::{Intake, Place, Pool},
     target::TargetView,
 };
 use pimento_core::Time;
@@ -89,9 +89,9 @@
             return Vec::new();
         }
         match self.pools[at].submit(now, ask) {
-            Entry::Granted(place) => vec![self.note(at, place)],
-            Entry::Refused(refusal) => vec![refusal],
-            Entry::Waits => Vec::new(),
+            Intake::Granted(place) => vec![self.note(at, place)],
+            Intake::Refused(refusal) => vec![refusal],
+            Intake::Waits => Vec::new(),
         }
     }
 
--- a/crates/pimento_broker/src/pool.rs
+++ b/crates/pimento_broker/src/pool.rs
@@ -45,7 +45,7 @@
 
 /// What becomes of a request that has just come.
 #[derive(Debug)]
-pub(crate) enum Entry {
+pub(crate) enum Intake {
     Granted(Place),
     Waits,
     Refused(Effect),
@@ -86,11 +86,11 @@
     }
 
     /// Takes a request.
-    pub(crate) fn submit(&mut self, now: Time, ask: Ask) -> Entry {
+    pub(crate) fn submit(&mut self, now: Time, ask: Ask) -> Intake {
         let pace = self.pace(&ask);
         if !ask.home && !self.has_room(&ask) {
             let wait = Wait::For(pace);
-            return Entry::Refused(Effect::Refuse { id: ask.id, wait });
+            return Intake::Refused(Effect::Refuse { id: ask.id, wait });
         }
         let waiting = Waiting {
             start_by: ask.objective - pace,
@@ -101,7 +101,7 @@
         if ahead == 0
             && let Some(at) = self.choose(now, &waiting)
         {
-            return Entry::Granted(self.grant(now, at, &waiting.ask));
+            return Intake::Granted(self.grant(now, at, &waiting.ask));
         }
         self.wait_or_refuse(now, waiting, ahead)
     }
@@ -300,7 +300,7 @@
         }
     }
 
-    fn wait_or_refuse(&mut self, now: Time, waiting: Waiting, ahead: usize) -> Entry {
+    fn wait_or_refuse(&mut self, now: Time, waiting: Waiting, ahead: usize) -> Intake {
         let usable = self
             .candidates(&waiting.ask)
             .filter(|(_, t)| !t.broken(now));
@@ -308,7 +308,7 @@
         let id = waiting.ask.id;
         if slots == 0 {
             let wait = Wait::Unknown;
-            return Entry::Refused(Effect::Refuse { id, wait });
+            return Intake::Refused(Effect::Refuse { id, wait });
         }
         let pace = self.all.mean(FIRST_PACE);
         let wait = pace.mul_f64((ahead as f64 + 1.0) / f64::from(slots));
@@ -319,9 +319,9 @@
         };
         if now + wait > latest || now + wait > waiting.ask.deadline {
             let wait = Wait::For(wait);
-            return Entry::Refused(Effect::Refuse { id, wait });
+            return Intake::Refused(Effect::Refuse { id, wait });
         }
         self.queue.0.push(Waiting { latest, ..waiting });
-        Entry::Waits
+        Intake::Waits
     }
 }
--- a/crates/pimento_fleet/src/shards.rs
+++ b/crates/pimento_fleet/src/shards.rs
@@ -3,9 +3,9 @@
 use pimento_core::hash;
 use pimento_registry::Target;
 
-/// The targets beyond which two shards become four, and so on, for each shard:
-/// at eight slots a target and four requests a second for each slot, the VM
-/// that grants a shard's places spends a tenth of a link of 1.4 Mbit/s on it.
+/// The targets at which a shard is divided into two, so that a shard has six to
+/// eleven: at six slots and four requests a second for each slot, who grants
+/// its places spends a quarter of a link of 1.4 Mbit/s on it.
 const MOST: usize = 11;
 
 #[derive(Clone, Debug)]
