Log from whom an entry VM gets items, and when one lags

"rules in force" now names the sender, and a control VM logs each time that it takes another's follower for lagging. No change of logic.

--- a/crates/pimento_fleet/src/actor.rs
+++ b/crates/pimento_fleet/src/actor.rs
@@ -101,6 +101,14 @@
                 Effect::Suspected(address) => {
                     event!(self.log, Event::VmSuspected, "vm_address" => %address);
                 }
+                Effect::Lagging {
+                    vm,
+                    revision,
+                    newest,
+                } => {
+                    event!(self.log, Event::VmLagging, "vm_address" => %vm,
+                        "revision" => revision, "newest" => newest);
+                }
                 Effect::ViewChanged => self.view_changed = true,
             }
         }
@@ -149,7 +157,9 @@
         }
         if view.catalog.revision() != self.logged_revision {
             self.logged_revision = view.catalog.revision();
-            event!(self.log, Event::RulesApplied, "revision" => self.logged_revision);
+            let from = self.fleet.items_sender().map(|from| from.to_string());
+            event!(self.log, Event::RulesApplied, "revision" => self.logged_revision,
+                "from" => from);
         }
         self.shared.store(Arc::new(view));
     }
--- a/crates/pimento_fleet/src/effect.rs
+++ b/crates/pimento_fleet/src/effect.rs
@@ -33,6 +33,15 @@
     },
     /// A process did not answer and is excluded for a while.
     Suspected(SocketAddr),
+    /// An entry VM that follows another control VM lacks items.
+    Lagging {
+        /// The address of the entry VM.
+        vm: SocketAddr,
+        /// The revision of items that it has.
+        revision: u64,
+        /// The revision that this control VM has.
+        newest: u64,
+    },
     /// The view that requests are routed by has changed.
     ViewChanged,
 }
--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -46,6 +46,8 @@
     pub(crate) catalog: Arc<Catalog>,
     /// The routing table built from the catalog.
     pub(crate) routes: Arc<RouteTable>,
+    /// The control VM that sent the newest items to this entry VM.
+    pub(crate) items_sender: Option<SocketAddr>,
     /// How the targets of the registry are split into shards.
     pub(crate) shards: ShardMap,
     /// The targets of the registry that may receive requests.
@@ -88,6 +90,7 @@
             registry: Registry::default(),
             catalog: Arc::default(),
             routes: Arc::default(),
+            items_sender: None,
             shards: ShardMap::default(),
             routable: Arc::default(),
             broker: Broker::default(),
@@ -139,6 +142,11 @@
         effects
     }
 
+    /// The control VM that sent the newest items to this entry VM.
+    pub const fn items_sender(&self) -> Option<SocketAddr> {
+        self.items_sender
+    }
+
     /// The processes that were heard within the failure timeout.
     pub(crate) fn live_nodes(&self, now: Time) -> impl Iterator<Item = &crate::Node> {
         self.members.heard_within(now, self.config.failure_timeout)
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -33,7 +33,7 @@
             Body::UnknownProcess(_) => vec![self.full_heartbeat(from)],
             Body::HeartbeatReply(reply) => self.handle_heartbeat_reply(now, from, &reply),
             Body::MemberList(list) => self.handle_member_list(now, from, &list),
-            Body::Items(items) => self.handle_items(now, items),
+            Body::Items(items) => self.handle_items(now, from, items),
             Body::Targets(targets) => self.handle_targets(now, from, &targets),
             Body::TargetUpdate(update) => {
                 let mut effects = self.merge_targets(now, &update.targets);
@@ -133,7 +133,15 @@
         }
         if self.is_lagging(now, from) {
             // The control VM that the sender follows lags behind as well.
-            effects.extend(self.missing_items(now, from, heartbeat.revision));
+            let revision = heartbeat.revision;
+            if let Some(items) = self.missing_items(now, from, revision) {
+                effects.push(Effect::Lagging {
+                    vm: from,
+                    revision,
+                    newest: self.catalog.revision(),
+                });
+                effects.push(items);
+            }
         }
         effects
     }
@@ -226,10 +234,11 @@
         effects
     }
 
-    fn handle_items(&mut self, now: Time, items: Items) -> Vec<Effect> {
+    fn handle_items(&mut self, now: Time, from: SocketAddr, items: Items) -> Vec<Effect> {
         if self.config.local.role == Role::Control as i32 {
             return Vec::new();
         }
+        self.items_sender = Some(from);
         let catalog = Arc::make_mut(&mut self.catalog);
         catalog.merge(items.changes);
         if items.from <= catalog.revision() {
--- a/crates/pimento_fleet/tests/world/mod.rs
+++ b/crates/pimento_fleet/tests/world/mod.rs
@@ -340,6 +340,7 @@
                 Effect::Confirmed { update_id } => self.processes[i].confirmed.push(update_id),
                 Effect::ViewChanged => drop(self.processes[i].fleet.view()),
                 Effect::Suspected(_) => self.suspected += 1,
+                Effect::Lagging { .. } => {}
             }
         }
     }
--- a/crates/pimento_log/src/event.rs
+++ b/crates/pimento_log/src/event.rs
@@ -65,6 +65,8 @@
     VmLeft = 303, Info, "VM left";
     /// A shard owner did not answer permit requests and is suspected.
     VmSuspected = 304, Warning, "VM did not answer";
+    /// An entry VM lacks items that the control VM it follows should have sent.
+    VmLagging = 305, Warning, "VM lags behind";
     /// This VM has acquired the lease of a target.
     LeaseTaken = 401, Info, "target lease taken";
     /// This VM has lost or released the lease of a target.
