Help lagging entry VMs by the age of the oldest change they lack

Cause: an entry VM gets items from the control VM that it follows, and from the others only if it lags. Lagging meant that the catalog hadn't changed, and the VM's own revision hadn't either, for 600 ms. While changes go on, the first never holds in a storm and is missed at some phases of the heartbeats at one change a second; the second never holds behind a control VM that makes progress but stays behind. So an entry VM was as old as the control VM that it follows, for as long as changes went on. Class: a repair gated by "unchanged for", so that its bound depends on how often things change.

Why it works: a control VM records when it applied its recent revisions. A VM lags if it lacks one that was applied 600 ms ago (1.1 s at control VMs that are not next in its order), whatever came after. With a heartbeat each 500 ms that is below 2 s. Before, all control VMs sent the same items at once; now at first the next one or two do.

--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Effect, FleetConfig, Stage,
+    applied::AppliedRevisions,
     broadcast::UpdateBroadcast,
     effect::OutgoingMessage,
     fragments::Reassembly,
@@ -72,8 +73,8 @@
     /// Reports that were acknowledged by all processes that must have them.
     pub(crate) confirmed: VecDeque<ConfirmedReport>,
     next_heartbeat: Time,
-    /// When this control VM last received newer items.
-    pub(crate) catalog_changed: Time,
+    /// When this control VM applied its newest revisions of items.
+    pub(crate) applied: AppliedRevisions,
     /// Counts the round-robin choices of a control VM.
     pub(crate) rotation: usize,
     /// The share of this VM's link bandwidth that requests use, in percent.
@@ -106,7 +107,7 @@
             list_digest: 0,
             confirmed: VecDeque::new(),
             next_heartbeat: Time::ZERO,
-            catalog_changed: Time::ZERO,
+            applied: AppliedRevisions::default(),
             rotation: 0,
             load: 0,
         }
--- a/crates/pimento_fleet/src/heartbeats.rs
+++ b/crates/pimento_fleet/src/heartbeats.rs
@@ -39,22 +39,31 @@
     /// The control VM that this process follows, which means that it compares
     /// its state with it: the nearest live one.
     pub(crate) fn followed_control(&self, now: Time) -> Option<SocketAddr> {
-        let domain = &self.config.local.domain;
-        let region = self.config.region(domain);
-        let local = self.config.local.address.as_str();
         let controls = self.live_nodes(now).filter(|n| n.has_role(Role::Control));
-        let nearest = controls.min_by_key(|n| {
-            let same_domain = n.info.domain == *domain;
-            let same_region = self.config.region(&n.info.domain) == region;
-            (
-                !same_domain,
-                !same_region,
-                hash::rendezvous_score(local, &n.info.address),
-            )
-        });
+        let nearest = controls.min_by_key(|n| self.distance(&self.config.local, &n.info));
         nearest.map(|n| n.address)
     }
 
+    /// The order in which a process follows control VMs, nearest first.
+    fn distance(&self, process: &NodeInfo, control: &NodeInfo) -> (bool, bool, u64) {
+        let region = |info: &NodeInfo| self.config.region(&info.domain);
+        let score = hash::rendezvous_score(&process.address, &control.address);
+        (
+            process.domain != control.domain,
+            region(process) != region(control),
+            score,
+        )
+    }
+
+    /// Whether this control VM is the one that a process would follow next: at
+    /// most one other that is alive is nearer to it.
+    pub(crate) fn is_next_control(&self, now: Time, process: &NodeInfo) -> bool {
+        let own_distance = self.distance(process, &self.config.local);
+        let controls = self.live_nodes(now).filter(|n| n.has_role(Role::Control));
+        let nearer = controls.filter(|n| self.distance(process, &n.info) < own_distance);
+        nearer.count() <= 1
+    }
+
     /// The addresses of all other control VMs that are known, alive or not, and
     /// of the seeds.
     pub(crate) fn control_addresses(&self) -> impl Iterator<Item = SocketAddr> + use<> {
--- a/crates/pimento_fleet/src/lib.rs
+++ b/crates/pimento_fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! routed by. See `docs/design/platform.md`.
 
 mod actor;
+mod applied;
 mod broadcast;
 mod config;
 mod effect;
--- a/crates/pimento_fleet/src/members.rs
+++ b/crates/pimento_fleet/src/members.rs
@@ -35,8 +35,6 @@
     pub load: u32,
     /// The revision of items that it last reported.
     pub revision: u64,
-    /// When it reported this revision for the first time.
-    pub reached_at: Time,
     /// The items that were last sent to it.
     pub(crate) last_sent: Option<SentItems>,
     /// When it last sent this VM a full heartbeat, which asks for the state
@@ -52,13 +50,6 @@
         self.info.role == role as i32
     }
 
-    pub(crate) fn record_revision(&mut self, now: Time, revision: u64) {
-        if self.revision != revision {
-            self.revision = revision;
-            self.reached_at = now;
-        }
-    }
-
     /// Of the differing target buckets, those that updates in flight are not
     /// going to repair: the process asks for the first time, or the bucket has
     /// not changed since it last asked.
@@ -110,7 +101,6 @@
                     last_listed: now,
                     load: 0,
                     revision: 0,
-                    reached_at: now,
                     last_sent: None,
                     last_sync: None,
                     buckets: Vec::new(),
--- a/crates/pimento_fleet/src/propagation.rs
+++ b/crates/pimento_fleet/src/propagation.rs
@@ -17,9 +17,13 @@
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(1_600);
 /// How long the same items are considered in flight before they are sent again.
 const ITEMS_RESEND_INTERVAL: Duration = Duration::from_millis(450);
-/// How long a process may lack items before control VMs that it doesn't follow
-/// send them, too.
+/// How long an entry VM may lack items before the control VM that it would follow
+/// next sends them, too.
 const ITEMS_LAG_LIMIT: Duration = Duration::from_millis(600);
+/// How long it may lack them before all control VMs do. With a heartbeat interval
+/// and the latency of the network it is below the time in which changes must be
+/// in force.
+const ITEMS_LAG_MAXIMUM: Duration = Duration::from_millis(1_100);
 /// The most confirmed reports that are kept; the oldest is dropped first.
 const MAX_CONFIRMED: usize = 1_024;
 
@@ -36,7 +40,7 @@
     /// them to its followers.
     pub fn set_catalog(&mut self, now: Time, catalog: Arc<Catalog>) -> Vec<Effect> {
         self.catalog = catalog;
-        self.catalog_changed = now;
+        self.applied.record(now, self.catalog.revision());
         let mut effects = self.rebuild_routing(now);
         let followers: Vec<_> = self
             .followers(now)
@@ -225,12 +229,17 @@
         Some(send(to, Body::Items(message)))
     }
 
-    /// Whether a process has lacked items for longer than the control VM that
-    /// it follows needs to send them.
+    /// Whether an entry VM has lacked items for so long that this control VM, which
+    /// it doesn't follow, has to send them.
     pub(crate) fn is_lagging(&self, now: Time, address: SocketAddr) -> bool {
-        let node = self.members.get(&address);
-        node.is_some_and(|n| {
-            n.revision < self.catalog.revision() && now.since(n.reached_at) > ITEMS_LAG_LIMIT
-        }) && now.since(self.catalog_changed) > ITEMS_LAG_LIMIT
+        let Some(node) = self.members.get(&address) else {
+            return false;
+        };
+        let limit = if self.is_next_control(now, &node.info) {
+            ITEMS_LAG_LIMIT
+        } else {
+            ITEMS_LAG_MAXIMUM
+        };
+        node.revision < self.applied.at_least(now, limit)
     }
 }
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -74,7 +74,7 @@
         let in_sync = differing.is_empty();
         let mut stalled = Vec::new();
         if let Some(node) = self.members.get_mut(&from) {
-            node.record_revision(now, heartbeat.revision);
+            node.revision = heartbeat.revision;
             node.load = heartbeat.load;
             if is_full {
                 node.last_sync = Some(now);
@@ -122,7 +122,7 @@
         }
         let mut effects = Vec::new();
         if let Some(node) = self.members.get_mut(&from) {
-            node.record_revision(now, heartbeat.revision);
+            node.revision = heartbeat.revision;
             node.load = heartbeat.load;
             // Short heartbeats mean that it follows another control VM now.
             node.last_sync = None;
--- a/crates/pimento_fleet/tests/lagging.rs
+++ b/crates/pimento_fleet/tests/lagging.rs
@@ -61,7 +61,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED: help with items waits until they no longer change"]
 fn storm_passes_stuck_control() {
     let longest = longest_lag(&mut one_control_per_domain(), STORM_INTERVAL, None);
     assert!(
@@ -72,7 +71,6 @@
 
 /// The followed control VM makes progress, but stays seconds behind.
 #[test]
-#[ignore = "KNOWN-RED: help with items waits until they no longer change"]
 fn storm_passes_slow_control() {
     let longest = longest_lag(
         &mut one_control_per_domain(),
@@ -87,7 +85,6 @@
 
 /// Changes at the same moment between two heartbeats each time.
 #[test]
-#[ignore = "KNOWN-RED: help with items waits until they no longer change"]
 fn regular_changes_pass_stuck_control() {
     for offset_ms in (0..500).step_by(50) {
         let mut world = one_control_per_domain();
