Repair target buckets that keep changing

An entry VM that had missed one update then lacked that target for as long as others of the bucket changed more often than each 500 ms.

missed_target_arrives_among_changes failed before (missing for 3.2 s of changes each 400 ms) and passes now: a bucket that has differed for 900 ms is sent whatever changes.

--- a/crates/pimento_fleet/src/members.rs
+++ b/crates/pimento_fleet/src/members.rs
@@ -7,6 +7,10 @@
 /// How long a process is kept after it was last heard or listed.
 const MEMBER_TTL: Duration = Duration::from_secs(20);
 
+/// How long a target bucket may differ before it is repaired even if it keeps
+/// changing.
+const REPAIR_LIMIT: Duration = Duration::from_millis(900);
+
 /// Items that were sent to a process.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SentItems {
@@ -42,6 +46,9 @@
     pub last_sync: Option<Time>,
     /// The digests of its target buckets at that time.
     pub(crate) buckets: Vec<u32>,
+    /// Since when its target buckets have differed without being repaired, by
+    /// number.
+    pub(crate) differing: Vec<(u32, Time)>,
 }
 
 impl Node {
@@ -51,17 +58,29 @@
     }
 
     /// Of the differing target buckets, those that updates in flight are not
-    /// going to repair: the process asks for the first time, or the bucket has
-    /// not changed since it last asked.
-    pub(crate) fn stalled_buckets(&mut self, buckets: &[u32], differing: Vec<u32>) -> Vec<u32> {
+    /// going to repair: the process asks for the first time, the bucket has not
+    /// changed since it last asked, or has differed for [`REPAIR_LIMIT`].
+    pub(crate) fn stalled_buckets(
+        &mut self,
+        now: Time,
+        buckets: &[u32],
+        differing: &[u32],
+    ) -> Vec<u32> {
         let previous = std::mem::replace(&mut self.buckets, buckets.to_vec());
-        let stalled = |i: &u32| {
-            let i = *i as usize;
-            previous
-                .get(i)
-                .is_none_or(|digest| buckets.get(i) == Some(digest))
-        };
-        differing.into_iter().filter(stalled).collect()
+        let known = std::mem::take(&mut self.differing);
+        let mut stalled = Vec::new();
+        for number in differing {
+            let i = *number as usize;
+            let found = known.binary_search_by_key(number, |(n, _)| *n);
+            let since = found.map_or(now, |at| known[at].1);
+            let is_unchanged = previous.get(i).is_none_or(|d| buckets.get(i) == Some(d));
+            if is_unchanged || now.since(since) >= REPAIR_LIMIT {
+                stalled.push(*number);
+            } else {
+                self.differing.push((*number, since));
+            }
+        }
+        stalled
     }
 
     /// Whether it announced that it is ready to serve.
@@ -87,6 +106,7 @@
                     node.revision = 0;
                     node.last_sent = None;
                     node.buckets.clear();
+                    node.differing.clear();
                 }
                 if changed {
                     node.info = info.clone();
@@ -104,6 +124,7 @@
                     last_sent: None,
                     last_sync: None,
                     buckets: Vec::new(),
+                    differing: Vec::new(),
                 };
                 self.0.insert(i, node);
                 true
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -78,7 +78,7 @@
             node.load = heartbeat.load;
             if is_full {
                 node.last_sync = Some(now);
-                stalled = node.stalled_buckets(&heartbeat.buckets, differing);
+                stalled = node.stalled_buckets(now, &heartbeat.buckets, &differing);
             }
         }
         let mut effects = Vec::new();
