Space a target's permits by the requests per second that it names

Cause: nothing read the header.

The owner of a target's shard, which grants all permits for it, spaces them by the limit (pimento_broker::rate). A standby uses a quarter, since two VMs may grant while they disagree; a VM without news sends at most the slots before the first report tells it, and counts these. Reports carry the age of what the target said, so the newest statement counts and its absence ends the limit. What finds no place goes to the next shard or is refused at once with the time until a place is due.

--- a/crates/pimento_broker/src/broker.rs
+++ b/crates/pimento_broker/src/broker.rs
@@ -189,6 +189,7 @@
         }
         let (id, incarnation) = (&permit.target, permit.incarnation_hash);
         self.notices.record(now, id, incarnation, notice);
+        let notice = self.notices.notice(now, id, incarnation);
         for pool in &mut self.pools {
             pool.apply_notice(now, id, incarnation, notice);
         }
--- a/crates/pimento_broker/src/lib.rs
+++ b/crates/pimento_broker/src/lib.rs
@@ -13,6 +13,7 @@
 mod pool;
 mod queue;
 mod ranking;
+mod rate;
 mod request;
 mod search;
 mod target;
--- a/crates/pimento_broker/src/pool.rs
+++ b/crates/pimento_broker/src/pool.rs
@@ -296,13 +296,14 @@
 
     /// Whether the share of slots in use is below [`MAX_OPTIONAL_LOAD`].
     fn has_spare_load(&self, now: Time, request: &PermitRequest) -> bool {
-        let (mut in_use, mut slots) = (0, 0);
+        let run_time = self.run_time.mean(ASSUMED_RUN_TIME);
+        let (mut in_use, mut slots) = (0, 0.0);
         let candidates = self.candidates(request);
         for (_, target) in candidates.filter(|(_, t)| !t.is_held(now)) {
             in_use += target.in_use;
-            slots += target.view.slots;
+            slots += target.usable_slots(run_time);
         }
-        f64::from(in_use) < f64::from(slots) * MAX_OPTIONAL_LOAD
+        f64::from(in_use) < slots * MAX_OPTIONAL_LOAD
     }
 
     /// Whether a request that starts now is likely to finish before its
@@ -339,7 +340,7 @@
             before.filter(|q| q.request.affinity.is_some_and(|key| target.is_warm(key)));
         let runs = same_target.count() as f64 + 1.0;
         let run_time = self.warm_time.mean(ASSUMED_RUN_TIME);
-        let wait = run_time.mul_f64(runs / f64::from(target.view.slots));
+        let wait = target.wait_for(now, runs, run_time);
         let miss = self.miss_time.mean(ASSUMED_RUN_TIME);
         let is_too_late = now + miss > queued.request.objective;
         wait < miss.saturating_sub(run_time) && (is_too_late || now + wait <= queued.start_by)
@@ -378,14 +379,14 @@
         // A target that pauses longer than all others doesn't help this request.
         let pause_left = pause.unwrap_or_default();
         let usable = usable.filter(|t| t.held_for(now) <= pause_left);
-        let slots: u32 = usable.map(|t| t.view.slots).sum();
+        let run_time = self.run_time.mean(ASSUMED_RUN_TIME);
+        let slots: f64 = usable.map(|t| t.usable_slots(run_time)).sum();
         let id = queued.request.id;
-        if slots == 0 {
+        if slots <= 0.0 {
             let wait = ExpectedWait::Unknown;
             return Admission::Refused(Decision::Refuse { id, wait });
         }
-        let run_time = self.run_time.mean(ASSUMED_RUN_TIME);
-        let wait = pause_left + run_time.mul_f64((ahead as f64 + 1.0) / f64::from(slots));
+        let wait = pause_left + run_time.mul_f64((ahead as f64 + 1.0) / slots);
         let refuse_at = if now <= queued.start_by {
             queued.start_by
         } else {
--- a/crates/pimento_broker/src/target.rs
+++ b/crates/pimento_broker/src/target.rs
@@ -1,6 +1,6 @@
 //! The permits and the observed health of one target.
 
-use crate::{RequestOutcome, RequestReport, ewma::Ewma};
+use crate::{RequestOutcome, RequestReport, ewma::Ewma, rate::RateLimiter};
 use pimento_core::{Time, hash};
 use pimento_notices::{MAX_PAUSE, TargetNotice};
 use std::{sync::Arc, time::Duration};
@@ -89,6 +89,8 @@
     relative_time: Ewma,
     /// When the next request may be sent while the target is cold.
     next_cold: Time,
+    /// Follows the requests per second that the target takes.
+    rate: RateLimiter,
 }
 
 impl Target {
@@ -105,6 +107,7 @@
             failure_rate: 0.0,
             relative_time: Ewma::default(),
             next_cold: Time::ZERO,
+            rate: RateLimiter::default(),
         }
     }
 
@@ -140,6 +143,24 @@
         if let Some(pause) = notice.pause {
             self.held_until = self.held_until.max(now + pause.min(MAX_PAUSE));
         }
+        if let Some(limit) = notice.limit {
+            self.rate.set_rate(now, limit.rate, self.in_use);
+        }
+    }
+
+    /// The requests that can run at a time, given how long they take.
+    pub(crate) fn usable_slots(&self, run_time: Duration) -> f64 {
+        let slots = f64::from(self.view.slots);
+        let allowed = self.rate.per_second();
+        allowed.map_or(slots, |rate| slots.min(rate * run_time.as_secs_f64()))
+    }
+
+    /// How long until this many requests have started, one after the other,
+    /// given how long they take.
+    pub(crate) fn wait_for(&self, now: Time, requests: f64, run_time: Duration) -> Duration {
+        let slots = f64::from(self.view.slots);
+        let until_free = run_time.mul_f64(requests / slots);
+        until_free.max(self.rate.wait_for(now, requests))
     }
 
     /// Whether a permit can be granted now.
@@ -151,7 +172,8 @@
         let too_early = now < self.next_cold || standby > MAX_COLD_STANDBY;
         let cold = now < self.view.cold_until && too_early;
         let is_paused = now < self.paused_until || self.is_held(now);
-        self.is_accepting() && !is_paused && self.in_use < limit && !cold
+        let is_due = self.rate.is_due(now, standby);
+        self.is_accepting() && !is_paused && self.in_use < limit && !cold && is_due
     }
 
     pub(crate) fn is_warm(&self, affinity: u64) -> bool {
@@ -194,6 +216,7 @@
     /// for the request's affinity key.
     pub(crate) fn acquire(&mut self, now: Time, affinity: Option<u64>, standby: u32) {
         self.in_use += 1;
+        self.rate.acquire(now, standby);
         if now < self.view.cold_until && self.view.cold_rate > 0.0 {
             let share = USABLE_COLD_SHARE / f64::from(2_u32.pow(standby.min(MAX_COLD_STANDBY)));
             let gap = Duration::from_secs_f64(1.0 / (self.view.cold_rate * share));
--- a/crates/pimento_broker/tests/notices.rs
+++ b/crates/pimento_broker/tests/notices.rs
@@ -13,12 +13,14 @@
 const LEAVING: TargetNotice = TargetNotice {
     leaving: true,
     pause: None,
+    limit: None,
 };
 
 const fn pause(pause: Duration) -> TargetNotice {
     TargetNotice {
         leaving: false,
         pause: Some(pause),
+        limit: None,
     }
 }
 
--- a/crates/pimento_broker/tests/support/shard.rs
+++ b/crates/pimento_broker/tests/support/shard.rs
@@ -292,6 +292,7 @@
         let mut notice = TargetNotice {
             leaving: now >= life.leaves_at,
             pause: None,
+            limit: None,
         };
         if let Some(pause) = running.pause {
             let ends_at = life.pauses[pause].end;
--- a/crates/pimento_entry/src/notices.rs
+++ b/crates/pimento_entry/src/notices.rs
@@ -84,5 +84,6 @@
     TargetNotice {
         leaving: answer.leaving,
         pause,
+        limit: None,
     }
 }
--- a/crates/pimento_fleet/src/message.rs
+++ b/crates/pimento_fleet/src/message.rs
@@ -309,4 +309,11 @@
     /// How much longer the target wants no requests.
     #[prost(uint32, optional, tag = "8")]
     pub pause_ms: Option<u32>,
+    /// How long ago the target last said how many requests it takes.
+    #[prost(uint32, optional, tag = "9")]
+    pub limit_age_ms: Option<u32>,
+    /// The limit that it named then, in thousandths of a request per second;
+    /// `None` if it named none.
+    #[prost(uint64, optional, tag = "10")]
+    pub limit_millis: Option<u64>,
 }
--- a/crates/pimento_fleet/src/reports.rs
+++ b/crates/pimento_fleet/src/reports.rs
@@ -2,7 +2,7 @@
 
 use crate::message::ReleasedPermit;
 use pimento_broker::{RequestOutcome, RequestReport};
-use pimento_notices::TargetNotice;
+use pimento_notices::{RequestRate, StatedLimit, TargetNotice};
 use std::time::Duration;
 
 /// The outcomes in the order of their numbers in messages.
@@ -29,6 +29,15 @@
         leaving: report.notice.leaving,
         // Rounded up, so that the receiver doesn't end the pause too early.
         pause_ms: report.notice.pause.map(|left| left.as_millis() as u32 + 1),
+        limit_age_ms: report
+            .notice
+            .limit
+            .map(|limit| u32::try_from(limit.age.as_millis()).unwrap_or(u32::MAX)),
+        limit_millis: report
+            .notice
+            .limit
+            .and_then(|limit| limit.rate)
+            .map(RequestRate::as_millis),
     }
 }
 
@@ -43,6 +52,10 @@
         notice: TargetNotice {
             leaving: permit.leaving,
             pause: permit.pause_ms.map(|ms| Duration::from_millis(ms.into())),
+            limit: permit.limit_age_ms.map(|ms| StatedLimit {
+                rate: permit.limit_millis.map(RequestRate::from_millis),
+                age: Duration::from_millis(ms.into()),
+            }),
         },
     }
 }
--- a/crates/pimento_fleet/tests/notices.rs
+++ b/crates/pimento_fleet/tests/notices.rs
@@ -56,6 +56,7 @@
     let leaving = TargetNotice {
         leaving: true,
         pause: None,
+        limit: None,
     };
     for hearer in 0..6 {
         let refused = PermitDecision::Refuse(RefusalReason::Unusable);
@@ -68,6 +69,7 @@
     let notice = TargetNotice {
         leaving: false,
         pause: Some(5 * SECOND),
+        limit: None,
     };
     for hearer in 0..6 {
         let decision = decision_after_notice(hearer, notice);
--- a/crates/pimento_fleet/tests/schedule/mod.rs
+++ b/crates/pimento_fleet/tests/schedule/mod.rs
@@ -393,6 +393,7 @@
         let notice = TargetNotice {
             leaving: now >= lifetime.leaves_at,
             pause: (!left.is_zero()).then_some(left),
+            limit: None,
         };
         let run_time = if left.is_zero() { 20..300 } else { 5..20 };
         let run_time = Duration::from_millis(self.rng.random_range(run_time));
--- a/crates/pimento_gateway/src/attempt.rs
+++ b/crates/pimento_gateway/src/attempt.rs
@@ -18,11 +18,11 @@
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::{Body, Frame, Incoming},
-    header::{HOST, HeaderValue, RETRY_AFTER},
+    header::{HOST, HeaderName, HeaderValue, RETRY_AFTER},
     http::response,
 };
 use pimento_fleet::TargetInfo;
-use pimento_notices::{Hold, RetryAfter, TargetNotice};
+use pimento_notices::{Hold, RequestRate, RetryAfter, StatedLimit, TargetNotice};
 use std::{iter, pin::pin, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
     sync::mpsc,
@@ -97,6 +97,8 @@
     pub leaving: bool,
     /// When the target that turned the request away wants the next one.
     pub retry_after: Option<RetryAfter>,
+    /// What the target says of the requests that it takes.
+    pub limit: Option<StatedLimit>,
 }
 
 impl LoadReport {
@@ -108,6 +110,7 @@
                 Some(retry_after) => retry_after.pause(),
                 None => None,
             },
+            limit: self.limit,
         }
     }
 }
@@ -246,6 +249,7 @@
         if parts.headers.contains_key(&self.header_names.request_id) {
             report.leaving = parts.headers.contains_key(&self.header_names.leaving);
             report.retry_after = retry_after(parts.status, &parts.headers);
+            report.limit = Some(stated_limit(&parts.headers, &self.header_names.limit));
             self.inner.record_notice(self.target, &inbound.id, report);
         }
         let keep_alive = pool::keep_alive(&parts.headers);
@@ -431,6 +435,15 @@
     Some((running, waiting))
 }
 
+/// Reads how many requests a target takes. A value that is no rate is ignored,
+/// as if the target named none.
+fn stated_limit(headers: &HeaderMap, name: &HeaderName) -> StatedLimit {
+    StatedLimit {
+        rate: headers::text_value(headers, name).and_then(RequestRate::parse),
+        age: Duration::ZERO,
+    }
+}
+
 /// Parses how long a target that turns a request away wants no others.
 fn retry_after(status: StatusCode, headers: &HeaderMap) -> Option<RetryAfter> {
     if status != StatusCode::SERVICE_UNAVAILABLE {
--- a/crates/pimento_gateway/src/header_names.rs
+++ b/crates/pimento_gateway/src/header_names.rs
@@ -23,4 +23,7 @@
     pub leaving: HeaderName,
     /// How long the target stays cold, in milliseconds.
     pub cold: HeaderName,
+    /// The requests per second that the target takes from all VMs together, a
+    /// decimal number.
+    pub limit: HeaderName,
 }
--- a/crates/pimento_gateway/src/notices.rs
+++ b/crates/pimento_gateway/src/notices.rs
@@ -11,7 +11,7 @@
 use pimento_broker::RequestOutcome;
 use pimento_fleet::{RequestReport, TargetInfo};
 use pimento_log::{Event, event};
-use pimento_notices::{Hold, TargetNotice};
+use pimento_notices::{Hold, RequestRate, TargetNotice};
 use std::time::Duration;
 
 impl Inner {
@@ -40,6 +40,13 @@
             event!(self.log, Event::TargetPaused, "target" => id, "born" => born,
                 "id" => request_id, "pause_s" => pause.as_secs_f64(), "dropped" => dropped);
         }
+        if let Some(limit) = news.limit
+            && let Some(dropped) = self.may_log(true)
+        {
+            let per_second = limit.rate.map(RequestRate::per_second);
+            event!(self.log, Event::TargetLimited, "target" => id, "born" => born,
+                "id" => request_id, "per_second" => per_second, "dropped" => dropped);
+        }
     }
 
     /// Why no request may be sent to a target now; `None` if it may.
@@ -78,12 +85,15 @@
         duration: Duration,
     ) -> RequestReport {
         let notices = self.notices.borrow();
+        let mut notice = notices.notice(self.clock.now(), &target.id, target.incarnation);
+        // Another VM may have heard a limit that this response ends.
+        notice.limit = notice.limit.or(load_report.limit);
         RequestReport {
             outcome: request_outcome(outcome, load_report.notice()),
             took: duration,
             load: load_report.load,
             cold: load_report.cold,
-            notice: notices.notice(self.clock.now(), &target.id, target.incarnation),
+            notice,
         }
     }
 }
--- a/crates/pimento_gateway/tests/support/mod.rs
+++ b/crates/pimento_gateway/tests/support/mod.rs
@@ -106,6 +106,7 @@
         not_run: HeaderName::from_static("not-run"),
         leaving: HeaderName::from_static("leaving"),
         cold: HeaderName::from_static("cold"),
+        limit: HeaderName::from_static("limit"),
     }
 }
 
--- a/crates/pimento_log/src/event.rs
+++ b/crates/pimento_log/src/event.rs
@@ -95,6 +95,8 @@
     TargetPaused = 510, Info, "target paused";
     /// The pause of a target has ended.
     TargetResumed = 511, Info, "target resumed";
+    /// A target named another limit of requests per second, or none any more.
+    TargetLimited = 512, Info, "target limited";
     /// This control VM became the leader.
     LeaderElected = 601, Info, "elected leader";
     /// This control VM is no longer the leader.
--- a/crates/pimento_notices/src/target_notices.rs
+++ b/crates/pimento_notices/src/target_notices.rs
@@ -1,6 +1,7 @@
-//! What targets say of themselves in their responses: that they leave, or that
-//! they want no requests for a while.
+//! What targets say of themselves in their responses: that they leave, that they
+//! want no requests for a while, or how many they take.
 
+use crate::StatedLimit;
 use pimento_core::Time;
 use std::{sync::Arc, time::Duration};
 
@@ -18,6 +19,9 @@
     pub leaving: bool,
     /// How long the target wants no requests.
     pub pause: Option<Duration>,
+    /// What the target last said of the requests that it takes; `None` if it
+    /// never named a limit.
+    pub limit: Option<StatedLimit>,
 }
 
 impl TargetNotice {
@@ -25,6 +29,7 @@
     pub const NONE: Self = Self {
         leaving: false,
         pause: None,
+        limit: None,
     };
 }
 
@@ -55,9 +60,28 @@
     incarnation: u64,
     leaving: bool,
     paused_until: Time,
+    /// The newest limit and when it was stated.
+    limit: Option<(Time, StatedLimit)>,
     last_heard: Time,
 }
 
+impl Entry {
+    /// Whether nothing that was said is in force any more. A limit is, until the
+    /// target states that there is none.
+    fn is_over(&self, now: Time) -> bool {
+        let has_limit = self.limit.is_some_and(|(_, limit)| limit.rate.is_some());
+        !self.leaving && !has_limit && self.paused_until <= now
+    }
+
+    /// Keeps the limit that was stated last; reports arrive in any order.
+    fn record_limit(&mut self, now: Time, limit: StatedLimit) {
+        let stated_at = now - limit.age;
+        if self.limit.is_none_or(|(at, _)| at <= stated_at) {
+            self.limit = Some((stated_at, limit));
+        }
+    }
+}
+
 /// The notices that a VM has received, by the target's name and incarnation.
 ///
 /// A notice binds one incarnation only, so that a target that restarts under the
@@ -70,11 +94,13 @@
 }
 
 impl TargetNotices {
-    /// Records a notice. It never shortens an earlier one: responses to
-    /// concurrent requests arrive in any order.
+    /// Records a notice. It never shortens an earlier pause: responses to
+    /// concurrent requests arrive in any order. Of limits, the one that was
+    /// stated last counts; that there is none counts only if one was stated
+    /// before.
     ///
-    /// Returns what is new: that the target leaves, or a pause of a target that
-    /// did not pause before.
+    /// Returns what is new: that the target leaves, a pause of a target that did
+    /// not pause before, or another limit.
     pub fn record(
         &mut self,
         now: Time,
@@ -82,6 +108,12 @@
         incarnation: u64,
         notice: TargetNotice,
     ) -> TargetNotice {
+        let says_limit =
+            |limit: StatedLimit| limit.rate.is_some() || self.find(target, incarnation).is_ok();
+        let notice = TargetNotice {
+            limit: notice.limit.filter(|limit| says_limit(*limit)),
+            ..notice
+        };
         if notice == TargetNotice::NONE {
             return notice;
         }
@@ -96,18 +128,24 @@
         if let Some(pause) = notice.pause {
             entry.paused_until = entry.paused_until.max(now + pause.min(MAX_PAUSE));
         }
+        if let Some(limit) = notice.limit {
+            entry.record_limit(now, limit);
+        }
         let after = self.notice(now, target, incarnation);
+        let rate = |notice: TargetNotice| notice.limit.and_then(|limit| limit.rate);
         TargetNotice {
             leaving: after.leaving && !before.leaving,
             pause: after.pause.filter(|_| before.pause.is_none()),
+            limit: after.limit.filter(|_| rate(after) != rate(before)),
         }
     }
 
     /// Forgets and returns the pauses that have ended.
     pub fn take_ended(&mut self, now: Time) -> Vec<EndedPause> {
-        let has_ended = |e: &mut Entry| !e.leaving && e.paused_until <= now;
+        let has_ended = |e: &mut Entry| e.is_over(now);
         let ended = self.entries.extract_if(.., has_ended);
-        let ended = ended.map(|e| EndedPause {
+        let paused = ended.filter(|e| e.paused_until > Time::ZERO);
+        let ended = paused.map(|e| EndedPause {
             target: e.target,
             incarnation: e.incarnation,
             ended_for: now.since(e.paused_until),
@@ -125,6 +163,10 @@
         TargetNotice {
             leaving: entry.leaving,
             pause: (!left.is_zero()).then_some(left),
+            limit: entry.limit.map(|(at, limit)| StatedLimit {
+                age: now.since(at),
+                ..limit
+            }),
         }
     }
 
@@ -184,6 +226,7 @@
             incarnation,
             leaving: false,
             paused_until: Time::ZERO,
+            limit: None,
             last_heard: now,
         };
         self.entries.insert(at, entry);
@@ -193,7 +236,7 @@
     /// Forgets the pauses that have ended; if there are none, the incarnation
     /// that was silent for longest, which has most likely exited.
     fn make_room(&mut self, now: Time) {
-        self.entries.retain(|e| e.leaving || e.paused_until > now);
+        self.entries.retain(|e| !e.is_over(now));
         if self.entries.len() < MAX_NOTICES {
             return;
         }
