Refuse reports with values that no target has

Further report: another writer's odd entry (deeply nested, a number too large, a port out of range) ended the machines that read the list. Here it can't end a process: nesting is bounded by the parser and ignored where the field is unknown, and release builds don't trap on overflow. Such an entry spreads to all VMs.

--- a/crates/pimento_registry/src/lib.rs
+++ b/crates/pimento_registry/src/lib.rs
@@ -6,8 +6,10 @@
 //! incarnation only advances: ready, draining, gone. See
 //! `docs/design/registry.md`.
 
+mod check;
 mod registry;
 mod target;
 
+pub use check::{InvalidTarget, MAX_INCARNATION, MAX_NAME_BYTES, MAX_SLOTS};
 pub use registry::{BUCKET_COUNT, MergeOutcome, Registry};
 pub use target::{Stage, Target};
