--- a/crates/pimento_consensus/tests/joining.rs
+++ b/crates/pimento_consensus/tests/joining.rs
@@ -32,6 +32,30 @@
     assert!(sim.run_until(CATCH_UP, |sim| sim.nodes[cut_off].applied >= applied));
 }
 
+#[test]
+fn removed_voter_rejoins_under_commands() {
+    // Commands are committed faster than one reaches the learner and is
+    // acknowledged.
+    for seed in 0..10 {
+        let (mut sim, leader) = start_group(seed);
+        let cut_off = (leader + 1) % 6;
+        sim.set_connected(cut_off, false);
+        let is_removed = sim.run_until(RECOVERY_TIMEOUT, |sim| sim.voters() == 5);
+        assert!(is_removed, "seed {seed}: the silent voter was not removed");
+        sim.heal();
+        let start = sim.now;
+        while !sim.all_vote() {
+            let waited = sim.now.since(start);
+            assert!(
+                waited < RECOVERY_TIMEOUT,
+                "seed {seed}: no voter after {waited:?}"
+            );
+            sim.propose(leader);
+            sim.run_for(TIME_STEP);
+        }
+    }
+}
+
 #[test]
 fn disk_losses_after_replacements() {
     // Two machines were replaced, each with the time to catch up. Then two disks
--- a/crates/pimento_fleet/tests/world/mod.rs
+++ b/crates/pimento_fleet/tests/world/mod.rs
@@ -216,9 +216,11 @@
     }
 
     pub fn set_items_at(&mut self, i: usize, version: u64) {
-        let effects = self.processes[i]
-            .fleet
-            .set_catalog(self.now, catalog(version));
+        self.set_catalog_at(i, catalog(version));
+    }
+
+    pub fn set_catalog_at(&mut self, i: usize, catalog: Arc<Catalog>) {
+        let effects = self.processes[i].fleet.set_catalog(self.now, catalog);
         self.apply(i, effects);
     }
 
