Log the end of an incoming link as such

It was logged as "link opened" (201), which misled the reading of the incident's logs: a link seemed to open at the moment at which it ended. The new event 204 names the cause. No change of logic.

--- a/crates/pimento_link/src/accept.rs
+++ b/crates/pimento_link/src/accept.rs
@@ -48,7 +48,7 @@
     match handshake::accept(tcp, &shared.own_vm, &shared.key).await {
         Ok((stream, vm)) => {
             if let Err(cause) = serve(stream, &vm, &shared).await {
-                event!(shared.log, Event::LinkOpened, "from" => peer_address, "peer" => %vm, "end" => %cause);
+                event!(shared.log, Event::LinkEnded, "from" => peer_address, "peer" => %vm, "cause" => %cause);
             }
         }
         Err(cause) => {
--- a/crates/pimento_log/src/event.rs
+++ b/crates/pimento_log/src/event.rs
@@ -57,6 +57,8 @@
     LinkClosed = 202, Warning, "link closed";
     /// The handshake of an incoming link failed.
     LinkRefused = 203, Warning, "link refused";
+    /// A link that a peer had opened has ended.
+    LinkEnded = 204, Debug, "incoming link ended";
     /// A VM of the failure domain was declared dead.
     VmDead = 301, Warning, "VM declared dead";
     /// A VM of the failure domain is alive or alive again.
