--- a/crates/pimento_fleet/tests/storm_cost.rs
+++ b/crates/pimento_fleet/tests/storm_cost.rs
@@ -5,7 +5,7 @@
 use pimento_fleet::Role;
 use pimento_items::{Body, Catalog, Changeset, Item, Route, WeightedService};
 use std::{sync::Arc, time::Duration};
-use world::{World, catalog, world_with_domains};
+use world::{catalog, world_with_domains};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// The time between two changes.
@@ -37,7 +37,7 @@
 /// Changes routes in quick succession. One control VM gets none of the changes
 /// if it is `stuck`. Returns the most bytes that an entry VM got in a second.
 fn storm(stuck: bool) -> usize {
-    let mut world: World = world_with_domains(6, 12, 6, 1);
+    let mut world = world_with_domains(6, 12, 6, 1);
     world.set_items(1);
     world.run(3 * SECOND);
     let mut items: Catalog = (*catalog(1)).clone();
