Pass large responses on as they arrive

A response that takes more than a twentieth of its route's objective to arrive is streamed from its head now, with its length; others are buffered as before, so that they can be retried. Streamed bytes count for the VM's load; they were left out.

--- a/crates/pimento_gateway/src/attempt.rs
+++ b/crates/pimento_gateway/src/attempt.rs
@@ -7,6 +7,7 @@
     inbound::{Inbound, InboundBody},
     pool::{self, ConnectError, Connection, Pool},
     response::{BoxError, full_body},
+    transfer::Transfer,
 };
 use bytes::{Bytes, BytesMut};
 use futures_util::{
@@ -18,7 +19,7 @@
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::{Body, Frame, Incoming},
-    header::{HOST, HeaderName, HeaderValue, RETRY_AFTER},
+    header::{CONTENT_LENGTH, HOST, HeaderName, HeaderValue, RETRY_AFTER},
     http::response,
 };
 use pimento_fleet::TargetInfo;
@@ -118,12 +119,14 @@
 /// One attempt to send a request to a target.
 #[derive(Debug)]
 pub(crate) struct Attempt<'a> {
-    pub inner: &'a Inner,
+    pub inner: &'a Rc<Inner>,
     pub header_names: &'a HeaderNames,
     pub pool: &'a Rc<Pool>,
     pub target: &'a Arc<TargetInfo>,
     /// Whether the request is not idempotent, so it must not run twice.
     pub non_idempotent: bool,
+    /// The latency objective of the request's route.
+    pub objective: Duration,
     /// When the caller must have its final response.
     pub deadline: Instant,
 }
@@ -259,9 +262,12 @@
             return Outcome::Broken("the target refused the request, but may have run it");
         }
         headers::strip_hop_by_hop(&mut parts.headers);
+        let link_rate = self.inner.config.link_rate;
+        let length = body.size_hint().exact();
+        let transfer = Transfer::choose(length, link_rate, self.objective);
         let response_connection = ResponseConnection {
+            inner: Rc::clone(self.inner),
             target: Arc::clone(self.target),
-            pool: Rc::clone(self.pool),
             connection: Some(connection),
             keep_alive,
         };
@@ -271,18 +277,25 @@
         } else {
             self.deadline
         };
-        let buffered = buffer_body(body, response_connection, read_until);
-        let buffered = timeout_at(read_until, buffered).await;
-        if replaced {
-            return Outcome::Replaced;
-        }
-        if shed {
-            return Outcome::Shed;
-        }
-        let body = match buffered {
-            Err(_) => return Outcome::Timeout(true),
-            Ok(Err(_)) => return Outcome::Broken("the answer ended early"),
-            Ok(Ok(body)) => body,
+        let body = if transfer == Transfer::Streamed && parts.status.is_success() {
+            if let Some(length) = length {
+                parts.headers.insert(CONTENT_LENGTH, length.into());
+            }
+            stream_body(Bytes::new(), body, response_connection, self.deadline)
+        } else {
+            let buffered = buffer_body(body, response_connection, read_until);
+            let buffered = timeout_at(read_until, buffered).await;
+            if replaced {
+                return Outcome::Replaced;
+            }
+            if shed {
+                return Outcome::Shed;
+            }
+            match buffered {
+                Err(_) => return Outcome::Timeout(true),
+                Ok(Err(_)) => return Outcome::Broken("the answer ended early"),
+                Ok(Ok(body)) => body,
+            }
         };
         Outcome::Answered(TargetResponse {
             status: parts.status,
@@ -295,8 +308,8 @@
 /// The connection that a response is being read from.
 #[derive(Debug)]
 struct ResponseConnection {
+    inner: Rc<Inner>,
     target: Arc<TargetInfo>,
-    pool: Rc<Pool>,
     connection: Option<Connection>,
     keep_alive: Option<Duration>,
 }
@@ -306,7 +319,9 @@
     fn finish(&mut self) {
         let connection = self.connection.take();
         if let (Some(connection), Some(keep_alive)) = (connection, self.keep_alive) {
-            self.pool.checkin(&self.target, connection, keep_alive);
+            self.inner
+                .pool
+                .checkin(&self.target, connection, keep_alive);
         }
     }
 }
@@ -338,12 +353,17 @@
     connection: ResponseConnection,
     deadline: Instant,
 ) -> ResponseBody {
-    let first = stream::once(async move { Ok(Frame::data(read)) });
+    connection.inner.link_usage.record_part(read.len() as u64);
+    let first = (!read.is_empty()).then(|| Ok(Frame::data(read)));
     let others = stream::unfold(
         (body, connection),
         |(mut body, mut connection)| async move {
             match body.frame().await {
-                Some(Ok(frame)) => Some((Ok(frame), (body, connection))),
+                Some(Ok(frame)) => {
+                    let size = frame.data_ref().map_or(0, Bytes::len);
+                    connection.inner.link_usage.record_part(size as u64);
+                    Some((Ok(frame), (body, connection)))
+                }
                 Some(Err(e)) => {
                     let error: BoxError = e.into();
                     Some((Err(error), (body, connection)))
@@ -355,7 +375,7 @@
             }
         },
     );
-    channel_body(first.chain(others), deadline)
+    channel_body(stream::iter(first).chain(others), deadline)
 }
 
 /// The next frame of a body, or why there is none.
--- a/crates/pimento_gateway/src/handler.rs
+++ b/crates/pimento_gateway/src/handler.rs
@@ -247,6 +247,7 @@
             pool: &self.inner.pool,
             target,
             non_idempotent,
+            objective: plan.route.objective(),
             deadline: plan.deadline,
         };
         let started = Instant::now();
--- a/crates/pimento_gateway/src/lib.rs
+++ b/crates/pimento_gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod server;
 mod shutdown;
 mod target_stream;
+mod transfer;
 
 pub use gateway::{Gateway, GatewayConfig};
 pub use header_names::HeaderNames;
--- a/crates/pimento_gateway/src/link_usage.rs
+++ b/crates/pimento_gateway/src/link_usage.rs
@@ -44,6 +44,11 @@
             .set(self.bytes.get() + request_bytes + response_bytes + HEADER_BYTES);
     }
 
+    /// Records a part of a response whose size [`Self::record`] didn't know.
+    pub(crate) fn record_part(&self, bytes: u64) {
+        self.bytes.set(self.bytes.get() + bytes);
+    }
+
     /// Adds the bytes since the last call to the EWMA and returns the used share
     /// of the link, in percent.
     pub(crate) fn sample_percent(&self) -> u32 {
--- a/crates/pimento_gateway/tests/support/mod.rs
+++ b/crates/pimento_gateway/tests/support/mod.rs
@@ -199,7 +199,12 @@
 impl TestBed {
     /// Starts a gateway and targets, and waits until the gateway knows them.
     pub async fn start(behaviors: &[Behavior]) -> Self {
-        let test_bed = Self::start_empty();
+        Self::start_on_link(0.0, behaviors).await
+    }
+
+    /// Does the same with a link of this many bytes per second; 0 if unknown.
+    pub async fn start_on_link(link_rate: f64, behaviors: &[Behavior]) -> Self {
+        let test_bed = Self::start_without_targets(link_rate);
         test_bed.control.send(SetCatalog(catalog())).await.unwrap();
         let mut test_bed = test_bed;
         for (i, behavior) in behaviors.iter().enumerate() {
@@ -227,6 +232,10 @@
 
     /// Starts a gateway without a catalog or targets.
     pub fn start_empty() -> Self {
+        Self::start_without_targets(0.0)
+    }
+
+    fn start_without_targets(link_rate: f64) -> Self {
         let (control_address, entry_address) = (unused_udp_address(), unused_udp_address());
         let shared = SharedView::default();
         let control = fleet(
@@ -245,7 +254,7 @@
                 slack: 100.0,
                 window: Duration::from_secs(10),
             },
-            link_rate: 0.0,
+            link_rate,
         };
         let log = pimento_log::discard();
         let shutdown = GracefulShutdown::default();
--- a/crates/pimento_gateway/tests/support/raw_target.rs
+++ b/crates/pimento_gateway/tests/support/raw_target.rs
@@ -159,7 +159,12 @@
 impl TestBed {
     /// Starts a gateway that knows raw targets.
     pub async fn start_raw(targets: &[&RawTarget]) -> Self {
-        let test_bed = Self::start(&[]).await;
+        Self::start_raw_on_link(0.0, targets).await
+    }
+
+    /// Does the same with a link of this many bytes per second; 0 if unknown.
+    pub async fn start_raw_on_link(link_rate: f64, targets: &[&RawTarget]) -> Self {
+        let test_bed = Self::start_on_link(link_rate, &[]).await;
         let reports = targets.iter().map(|t| t.report());
         test_bed.announce(reports).await;
         test_bed
