Try outliers again, and keep quick keyless requests out of keyed run times

Two causes: - A verdict never expired. A target that is avoided gets no requests, so nothing could show that it had recovered. The first proper run after quick requests (a few ms, without a key) counted as hundreds of times the mean, and one such sample was enough. A run counts with five times the mean at most now, a new target with the mean, and a verdict holds for 4 s without a new outcome. - Quick requests without a key were averaged with the runs on targets that aren't warm, which then looked shorter than warm ones: requests didn't wait for their warm target, and spillover was accepted everywhere.

Searched: admit has an outlier detection of its own with a median and a timed ejection.

--- a/crates/pimento_broker/src/lib.rs
+++ b/crates/pimento_broker/src/lib.rs
@@ -10,6 +10,7 @@
 mod broker;
 mod budget;
 mod ewma;
+mod health;
 mod pool;
 mod queue;
 mod ranking;
--- a/crates/pimento_broker/src/pool.rs
+++ b/crates/pimento_broker/src/pool.rs
@@ -32,8 +32,11 @@
     held_until: Time,
     /// Run times of requests whose target was warm for the affinity key.
     warm_time: Ewma,
-    /// Run times of the other requests, with or without a key.
+    /// Run times of the other requests with an affinity key.
     miss_time: Ewma,
+    /// Run times of requests without an affinity key, which may be of another
+    /// kind altogether.
+    keyless_time: Ewma,
     /// Run times of all requests.
     run_time: Ewma,
 }
@@ -152,10 +155,10 @@
         if self.targets[at].view.incarnation_hash != permit.incarnation_hash {
             return;
         }
-        let run_times = if permit.affinity.warm {
-            &mut self.warm_time
-        } else {
-            &mut self.miss_time
+        let run_times = match permit.affinity {
+            PermitAffinity { key: None, .. } => &mut self.keyless_time,
+            PermitAffinity { warm: true, .. } => &mut self.warm_time,
+            PermitAffinity { warm: false, .. } => &mut self.miss_time,
         };
         let mean_secs = run_times.mean_secs();
         if report.outcome == RequestOutcome::Answered {
@@ -314,7 +317,7 @@
     fn finishes_in_time(&self, now: Time, request: &PermitRequest, warm: bool) -> bool {
         let mean = self.run_time.mean(ASSUMED_RUN_TIME);
         let run_time = match (request.affinity, warm) {
-            (None, _) => mean,
+            (None, _) => self.keyless_time.mean(mean),
             (Some(_), true) => self.warm_time.mean(mean),
             (Some(_), false) => self.miss_time.mean(mean),
         };
@@ -329,7 +332,7 @@
         };
         let failure_rate = self.mean_failure_rate();
         let is_suitable =
-            |t: &&Target| t.is_warm(affinity) && t.is_healthy(failure_rate) && !t.is_held(now);
+            |t: &&Target| t.is_warm(affinity) && t.is_healthy(now, failure_rate) && !t.is_held(now);
         let mut warm = self.usable(now, &queued.request).filter(is_suitable);
         let Some(target) = warm.next() else {
             return false;
@@ -368,7 +371,7 @@
         let mean = self.run_time.mean(ASSUMED_RUN_TIME);
         match request.affinity {
             Some(_) => self.warm_time.mean(mean),
-            None => mean,
+            None => self.keyless_time.mean(mean),
         }
     }
 
--- a/crates/pimento_broker/src/target.rs
+++ b/crates/pimento_broker/src/target.rs
@@ -1,6 +1,6 @@
 //! The permits and the observed health of one target.
 
-use crate::{RequestOutcome, RequestReport, ewma::Ewma, rate::RateLimiter};
+use crate::{RequestOutcome, RequestReport, health::Health, rate::RateLimiter};
 use pimento_core::{Time, hash};
 use pimento_notices::{MAX_PAUSE, TargetNotice};
 use std::{sync::Arc, time::Duration};
@@ -16,14 +16,6 @@
 /// How long a target that refused a request because it was full gets no
 /// requests: about the time in which one of its running requests ends.
 const SHED_PAUSE: Duration = Duration::from_millis(100);
-/// The weight of a new outcome in a target's average failure rate.
-const OUTCOME_WEIGHT: f64 = 0.15;
-/// How far a target's failure rate may exceed the pool's mean before other
-/// targets are preferred.
-const MAX_EXCESS_RATE: f64 = 0.25;
-/// The ratio of a target's run times to the pool's mean from which other
-/// targets are preferred.
-const SLOW_RATIO: f64 = 2.5;
 /// The share of a cold target's request rate that is used, since two VMs may
 /// grant its permits while they disagree on who owns the shard.
 const USABLE_COLD_SHARE: f64 = 0.8;
@@ -82,11 +74,7 @@
     leaving: bool,
     /// The target wants no requests before this time.
     held_until: Time,
-    /// The average share of requests that the target failed, or refused with
-    /// slots free.
-    failure_rate: f64,
-    /// Run times divided by the pool's mean.
-    relative_time: Ewma,
+    health: Health,
     /// When the next request may be sent while the target is cold.
     next_cold: Time,
     /// Follows the requests per second that the target takes.
@@ -104,8 +92,7 @@
             paused_until: Time::ZERO,
             leaving: false,
             held_until: Time::ZERO,
-            failure_rate: 0.0,
-            relative_time: Ewma::default(),
+            health: Health::NEW,
             next_cold: Time::ZERO,
             rate: RateLimiter::default(),
         }
@@ -186,7 +173,7 @@
         let spare = f64::from(self.limit - self.in_use.min(self.limit));
         let spare = spare / f64::from(self.view.slots.max(1));
         Fitness {
-            healthy: self.is_healthy(mean_rate),
+            healthy: self.is_healthy(now, mean_rate),
             warm: affinity.is_some_and(|affinity| self.is_warm(affinity)),
             started: now >= self.view.cold_until,
             score: affinity.map_or(0, |affinity| {
@@ -199,17 +186,13 @@
     /// The average share of requests that the target failed, or refused with
     /// slots free.
     pub(crate) const fn failure_rate(&self) -> f64 {
-        self.failure_rate
+        self.health.failure_rate()
     }
 
-    /// Outlier detection: whether the target neither fails much more often than
-    /// the pool, whose mean failure rate is `mean_rate`, nor takes much longer.
-    pub(crate) fn is_healthy(&self, mean_rate: f64) -> bool {
-        let is_fast = self
-            .relative_time
-            .mean_secs()
-            .is_none_or(|ratio| ratio < SLOW_RATIO);
-        self.failures < 2 && self.failure_rate < mean_rate + MAX_EXCESS_RATE && is_fast
+    /// Whether the target neither fails much more often than the pool, whose mean
+    /// failure rate is `mean_rate`, nor takes much longer.
+    pub(crate) fn is_healthy(&self, now: Time, mean_rate: f64) -> bool {
+        self.failures < 2 && self.health.is_good(now, mean_rate)
     }
 
     /// Counts a permit for a request, and assumes that the target becomes warm
@@ -251,8 +234,8 @@
             self.warm_keys.retain(|key| Some(*key) != affinity.key);
         }
         match report.outcome {
-            RequestOutcome::Answered => self.record_success(report, mean_secs),
-            RequestOutcome::Failed => self.update_failure_rate(1.0),
+            RequestOutcome::Answered => self.record_success(now, report, mean_secs),
+            RequestOutcome::Failed => self.health.record_failure(now),
             // A pause that the target asks for is no fault.
             RequestOutcome::Shed if report.notice.pause.is_some() => {}
             RequestOutcome::Shed => self.record_shed(now, report),
@@ -260,7 +243,7 @@
                 // A single malformed response doesn't eject the target; a second
                 // failure in a row does.
                 self.failures = 1;
-                self.update_failure_rate(1.0);
+                self.health.record_failure(now);
             }
             RequestOutcome::Broken | RequestOutcome::Unreachable => self.eject(now),
             RequestOutcome::Replaced => self.view.accepting = false,
@@ -268,19 +251,12 @@
         }
     }
 
-    fn record_success(&mut self, report: &RequestReport, mean_secs: Option<f64>) {
+    fn record_success(&mut self, now: Time, report: &RequestReport, mean_secs: Option<f64>) {
         self.failures = 0;
-        self.update_failure_rate(0.0);
         self.limit = (self.limit + 1).min(self.view.slots);
-        if let Some(mean) = mean_secs.filter(|mean| *mean > 0.0) {
-            let ratio = report.took.as_secs_f64() / mean;
-            self.relative_time.record(Duration::from_secs_f64(ratio));
-        }
-    }
-
-    /// Updates the failure rate: 1 for a failure, 0 for a success.
-    fn update_failure_rate(&mut self, value: f64) {
-        self.failure_rate += OUTCOME_WEIGHT * (value - self.failure_rate);
+        let mean = mean_secs.filter(|mean| *mean > 0.0);
+        let ratio = mean.map(|mean| report.took.as_secs_f64() / mean);
+        self.health.record_success(now, ratio);
     }
 
     /// Records that the target refused a request: either other VMs send
@@ -295,14 +271,14 @@
         } else {
             // The target reports free slots, so it isn't paused: the next
             // request may succeed.
-            self.update_failure_rate(1.0);
+            self.health.record_failure(now);
         }
     }
 
     /// Sends no requests for a time that doubles with each failure, and forgets
     /// which affinity keys the target was warm for.
     fn eject(&mut self, now: Time) {
-        self.update_failure_rate(1.0);
+        self.health.record_failure(now);
         self.failures = (self.failures.max(1) + 1).min(8);
         let ejection = MIN_EJECTION * 2_u32.pow(self.failures.saturating_sub(2));
         self.paused_until = now + ejection.min(MAX_EJECTION);
