Rank shards by their best target for a key

When a service gains or loses targets, the number of its shards in a failure domain doubles or halves at 11, 22, 44 and 88 targets. Keys were hashed to shards by index, targets too, independently: a split moved two thirds of the keys to other targets, all cold at once, and a change of a shard's slots moved keys that had nothing to do with it. A shard ranks by its best target now, by the same hash by which its broker chooses.

Test split_keeps_homes failed before (1306 of 2000 keys moved at a split) and passes now; new_target_moves_few_keys passes with both.

--- a/crates/pimento_broker/src/ranking.rs
+++ b/crates/pimento_broker/src/ranking.rs
@@ -14,6 +14,8 @@
     pub region: Arc<str>,
     /// The total slots of its targets.
     pub slots: u32,
+    /// The hashes of its targets' incarnations, in no order.
+    pub targets: Arc<[u64]>,
 }
 
 /// The region in which a request arrived.
@@ -39,7 +41,12 @@
 const LOCALITY_SALT: u64 = 0x6b65_6570;
 
 /// Ranks shards for a request by weighted rendezvous hashing of its affinity
-/// key, local shards or remote shards first.
+/// key over their targets, local shards or remote shards first.
+///
+/// A shard ranks by its best target, which is also the one that its broker
+/// prefers for the key. So a key keeps its target when the targets of a failure
+/// domain are split into more shards, and a new target takes over only the keys
+/// that it is best for.
 ///
 /// Regions may have equal numbers of callers but unequal numbers of targets. A
 /// region keeps the share of its requests that its slots can carry; the rest
@@ -93,11 +100,13 @@
     f64::from(shard.slots) * spare / slots.max(1.0)
 }
 
-/// Weighted rendezvous hashing: the shard with the highest score is chosen in
-/// proportion to its weight, and adding or removing a shard moves only the
-/// requests that it gains or loses.
+/// Weighted rendezvous hashing: the shard of the target with the highest score
+/// is chosen in proportion to its weight, and adding or removing a target moves
+/// only the requests that it gains or loses.
 fn rendezvous_score(affinity: u64, shard: &Shard, weight: f64) -> f64 {
-    let parts = [shard.domain.as_bytes(), &shard.index.to_le_bytes()];
-    let uniform = hash::unit_interval(affinity, hash::fnv(parts));
-    -weight / uniform.max(f64::MIN_POSITIVE).ln()
+    let targets = shard.targets.iter();
+    let uniform = targets.map(|target| hash::unit_interval(affinity, *target));
+    let best = uniform.fold(f64::MIN_POSITIVE, f64::max);
+    let target_weight = weight / shard.targets.len().max(1) as f64;
+    -target_weight / best.ln()
 }
--- a/crates/pimento_broker/tests/support/mod.rs
+++ b/crates/pimento_broker/tests/support/mod.rs
@@ -425,6 +425,11 @@
     }
 }
 
+/// The incarnation hash of a target, as [`view`] sets it.
+fn target_hash(domain: usize, target: usize) -> u64 {
+    hash::fnv([format!("t{domain}-{target}").as_bytes()])
+}
+
 pub const fn origin(region: &str, region_count: usize) -> Origin<'_> {
     Origin {
         region,
@@ -438,5 +443,6 @@
         index: 0,
         region: Arc::from(format!("r{region}")),
         slots: targets as u32 * slots,
+        targets: (0..targets).map(|t| target_hash(domain, t)).collect(),
     }
 }
--- a/crates/pimento_fleet/src/routable.rs
+++ b/crates/pimento_fleet/src/routable.rs
@@ -1,6 +1,7 @@
 //! The targets that may receive requests, and the shards that they form.
 
 use pimento_broker::Shard;
+use pimento_core::hash;
 use std::{net::SocketAddr, sync::Arc};
 
 /// A target, as it is needed to send requests to it.
@@ -22,6 +23,18 @@
     pub slots: u32,
 }
 
+impl TargetInfo {
+    /// A hash of the name and the incarnation, the same on all VMs.
+    pub(crate) fn incarnation_hash(&self) -> u64 {
+        incarnation_hash(&self.id, self.incarnation)
+    }
+}
+
+/// A hash of a target's name and incarnation, the same on all VMs.
+pub(crate) fn incarnation_hash(id: &str, incarnation: u64) -> u64 {
+    hash::fnv([id.as_bytes(), &incarnation.to_le_bytes()])
+}
+
 /// The shards of a service's targets.
 #[derive(Clone, Debug)]
 struct ServiceShards {
@@ -88,13 +101,19 @@
         });
         let shards = &mut self.services[index].shards;
         match find_shard(shards, target) {
-            Ok(i) => shards[i].slots += target.slots,
+            Ok(i) => {
+                let shard = &mut shards[i];
+                shard.slots += target.slots;
+                let known = shard.targets.iter().copied();
+                shard.targets = known.chain([target.incarnation_hash()]).collect();
+            }
             Err(i) => {
                 let shard = Shard {
                     domain: Arc::clone(&target.domain),
                     index: target.shard,
                     region: Arc::clone(region),
                     slots: target.slots,
+                    targets: Arc::from([target.incarnation_hash()]),
                 };
                 shards.insert(i, shard);
             }
@@ -109,7 +128,10 @@
         let Ok(i) = find_shard(shards, target) else {
             return;
         };
-        shards[i].slots = shards[i].slots.saturating_sub(target.slots);
+        let (shard, removed) = (&mut shards[i], target.incarnation_hash());
+        shard.slots = shard.slots.saturating_sub(target.slots);
+        let kept = shard.targets.iter().copied().filter(|t| *t != removed);
+        shard.targets = kept.collect();
         if shards[i].slots == 0 {
             shards.remove(i);
         }
--- a/crates/pimento_fleet/src/routing.rs
+++ b/crates/pimento_fleet/src/routing.rs
@@ -2,11 +2,11 @@
 
 use crate::{
     Effect, Fleet, Node, Role, RoutingView, Stage,
-    routable::{RoutableTargets, TargetInfo},
+    routable::{RoutableTargets, TargetInfo, incarnation_hash},
     shards::{ShardMap, is_same_group},
 };
 use pimento_broker::TargetView;
-use pimento_core::{Time, hash};
+use pimento_core::Time;
 use pimento_items::RouteTable;
 use pimento_registry::Target;
 use std::sync::Arc;
@@ -123,7 +123,7 @@
         let rate = service.map_or(0.0, |s| f64::from(s.cold_rate) / 1_000.0);
         TargetView {
             id: Arc::from(target.id.as_str()),
-            incarnation_hash: hash::fnv([target.id.as_bytes(), &target.incarnation.to_le_bytes()]),
+            incarnation_hash: incarnation_hash(&target.id, target.incarnation),
             service: Arc::from(target.service.as_str()),
             domain: Arc::from(target.domain.as_str()),
             shard: self.shards.shard_of(target),
