--- a/crates/pimento_fleet/tests/draining.rs
+++ b/crates/pimento_fleet/tests/draining.rs
@@ -113,6 +113,33 @@
     assert_eq!(entries_with(&world), 0);
 }
 
+/// Restarts all processes, one after the other.
+fn restart_in_turn(world: &mut World) {
+    for i in 0..world.processes.len() {
+        world.restart(i);
+        if world.processes[i].role == Role::Control {
+            world.set_items_at(i, 1);
+        }
+        world.run(SECOND * 3 / 2);
+    }
+}
+
+#[test]
+fn left_target_stays_away_after_restarts() {
+    for stage in [Stage::Draining, Stage::Gone] {
+        let mut world = settled_world(1);
+        world.report(0, &target("t", stage, 2));
+        world.run(SECOND);
+        restart_in_turn(&mut world);
+        // A report of its earlier state was held up all the while.
+        for control in world.with_role(Role::Control) {
+            world.report(control, &target("t", Stage::Ready, 1));
+            world.run(SECOND);
+        }
+        assert_eq!(entries_with(&world), 0, "{stage:?}");
+    }
+}
+
 /// A draining target keeps sending reports, to any control VM. They must not be
 /// broadcast to all VMs each time.
 #[test]
