--- a/crates/pimento_gateway/src/server.rs
+++ b/crates/pimento_gateway/src/server.rs
@@ -50,11 +50,11 @@
     handler: F,
 ) -> std::io::Result<actix_rt::task::JoinHandle<()>>
 where
-    F: Fn(Request<Incoming>) -> R + Clone + Unpin + 'static,
+    F: Fn(Request<Incoming>) -> R + 'static,
     R: Future<Output = Response<ResponseBody>> + 'static,
 {
     let listener = listen(address)?;
-    let shutdown = shutdown.clone();
+    let (shutdown, handler) = (shutdown.clone(), Rc::new(handler));
     let task = actix_rt::spawn(async move {
         let mut closing = pin!(shutdown.wait_for_idle_close());
         loop {
@@ -66,8 +66,8 @@
                 Ok((tcp, _)) => {
                     // Counted here: its task may not have run when the shutdown ends.
                     let guard = shutdown.count_connection();
-                    let connection =
-                        serve_connection(tcp, shutdown.clone(), limits(), handler.clone());
+                    let handler = Rc::clone(&handler);
+                    let connection = serve_connection(tcp, shutdown.clone(), limits(), handler);
                     actix_rt::spawn(async move {
                         connection.await;
                         drop(guard);
@@ -100,9 +100,9 @@
     tcp: TcpStream,
     shutdown: GracefulShutdown,
     limits: ConnectionLimits,
-    handler: F,
+    handler: Rc<F>,
 ) where
-    F: Fn(Request<Incoming>) -> R + Clone + Unpin + 'static,
+    F: Fn(Request<Incoming>) -> R + 'static,
     R: Future<Output = Response<ResponseBody>> + 'static,
 {
     // A failure only delays responses (Nagle's algorithm), so it is ignored.
@@ -115,7 +115,7 @@
     let service = service_fn(move |request| {
         let (activity, handler, request_guard) = (
             Rc::clone(&service_activity),
-            handler.clone(),
+            Rc::clone(&handler),
             service_shutdown.count_request(),
         );
         let shutdown = service_shutdown.clone();
