--- a/crates/pimento_broker/src/pool.rs
+++ b/crates/pimento_broker/src/pool.rs
@@ -116,7 +116,7 @@
     pub(crate) fn submit(&mut self, now: Time, request: PermitRequest) -> Admission {
         let run_time = self.expected_run_time(&request);
         if !request.preferred && !self.accepts_spillover(now, &request) {
-            let wait = ExpectedWait::For(run_time);
+            let wait = ExpectedWait::Foreign(run_time);
             return Admission::Refused(Decision::Refuse {
                 id: request.id,
                 wait,
--- a/crates/pimento_broker/src/request.rs
+++ b/crates/pimento_broker/src/request.rs
@@ -71,6 +71,9 @@
 pub enum ExpectedWait {
     /// Estimated from the queue and the mean run time.
     For(Duration),
+    /// The free slots are kept for affinity keys that the targets are warm for;
+    /// they may be given to others then.
+    Foreign(Duration),
     /// All usable targets want no requests; the first of these pauses ends then.
     Paused(Duration),
     /// No target is usable, so there is no estimate.
--- a/crates/pimento_broker/tests/crowds.rs
+++ b/crates/pimento_broker/tests/crowds.rs
@@ -33,6 +33,6 @@
     for seed in 0..5 {
         let result = simulate(crowded_region(seed));
         let in_time = f64::from(result.in_time) / f64::from(result.submitted);
-        println!("{seed} {in_time} {result:?}");
+        assert!(in_time > 0.9, "seed {seed}: {in_time}, {result:?}");
     }
 }
--- a/crates/pimento_broker/tests/places.rs
+++ b/crates/pimento_broker/tests/places.rs
@@ -296,3 +296,28 @@
         assert_eq!(sent > 0, standby < 3, "rank {standby}: {sent}");
     }
 }
+
+// Both kinds of refusal had the same reason, so logs called a shard full that kept
+// half of its slots for other keys.
+#[test]
+fn foreign_key_is_told() {
+    let mut broker = broker(vec![view("a", "d0", 2)]);
+    for (serial, took) in [(1, 400), (2, 100)] {
+        let request = PermitRequest {
+            affinity: Some(7),
+            ..permit_request(serial, START, SECOND)
+        };
+        broker.submit(START, request);
+        let answered = report(RequestOutcome::Answered, Duration::from_millis(took));
+        broker.release(START, &id(serial), &answered);
+    }
+    broker.submit(START, permit_request(3, START, SECOND));
+    let foreign = PermitRequest {
+        affinity: Some(8),
+        preferred: false,
+        ..permit_request(4, START, SECOND)
+    };
+    let decisions = broker.submit(START, foreign);
+    let wait = ExpectedWait::Foreign(Duration::from_millis(100));
+    assert_eq!(decisions, [Decision::Refuse { id: id(4), wait }]);
+}
--- a/crates/pimento_broker/tests/support/mod.rs
+++ b/crates/pimento_broker/tests/support/mod.rs
@@ -320,7 +320,9 @@
                 Decision::Refuse { id, wait } => {
                     let refusal = match wait {
                         ExpectedWait::Unknown => ShardRefusal::Unusable,
-                        ExpectedWait::For(_) | ExpectedWait::Paused(_) => ShardRefusal::Busy,
+                        ExpectedWait::For(_)
+                        | ExpectedWait::Foreign(_)
+                        | ExpectedWait::Paused(_) => ShardRefusal::Busy,
                     };
                     let search = &mut self.requests[id.serial as usize].search;
                     search.record_refusal(refusal);
--- a/crates/pimento_broker/tests/support/shard.rs
+++ b/crates/pimento_broker/tests/support/shard.rs
@@ -223,7 +223,7 @@
 
     fn refuse(&mut self, wait: ExpectedWait) {
         let wait_ms = match wait {
-            ExpectedWait::For(wait) => wait.as_millis() as u64,
+            ExpectedWait::For(wait) | ExpectedWait::Foreign(wait) => wait.as_millis() as u64,
             ExpectedWait::Paused(left) => left.as_millis() as u64,
             ExpectedWait::Unknown => 500,
         };
--- a/crates/pimento_fleet/src/effect.rs
+++ b/crates/pimento_fleet/src/effect.rs
@@ -92,6 +92,8 @@
 pub enum RefusalReason {
     /// All slots are in use, for about this time.
     Full(Duration),
+    /// The free slots are kept for other affinity keys, for about this time.
+    Foreign(Duration),
     /// All targets of the shard want no requests; the first of these pauses ends
     /// then.
     Paused(Duration),
--- a/crates/pimento_fleet/src/message.rs
+++ b/crates/pimento_fleet/src/message.rs
@@ -258,6 +258,10 @@
     /// that the request waited for.
     #[prost(uint32, tag = "8")]
     pub attempt: u32,
+    /// The reason of [`DecisionKind::Refuse`] is that the free slots are kept
+    /// for other affinity keys.
+    #[prost(bool, tag = "9")]
+    pub foreign: bool,
 }
 
 /// The kinds of [`PermitDecisionMessage`].
--- a/crates/pimento_fleet/src/permits.rs
+++ b/crates/pimento_fleet/src/permits.rs
@@ -151,10 +151,10 @@
             }
             DecisionKind::Refuse(ms) => {
                 let wait = Duration::from_millis(ms);
-                let reason = if message.paused {
-                    RefusalReason::Paused(wait)
-                } else {
-                    RefusalReason::Full(wait)
+                let reason = match (message.paused, message.foreign) {
+                    (true, _) => RefusalReason::Paused(wait),
+                    (false, true) => RefusalReason::Foreign(wait),
+                    (false, false) => RefusalReason::Full(wait),
                 };
                 PermitDecision::Refuse(reason)
             }
@@ -235,6 +235,7 @@
             }
             Decision::Refuse { wait, .. } => PermitDecision::Refuse(match wait {
                 ExpectedWait::For(wait) => RefusalReason::Full(wait),
+                ExpectedWait::Foreign(wait) => RefusalReason::Foreign(wait),
                 ExpectedWait::Paused(left) => RefusalReason::Paused(left),
                 ExpectedWait::Unknown => RefusalReason::Unusable,
             }),
@@ -354,6 +355,7 @@
         kind: Some(kind),
         paused: false,
         attempt: request.attempt,
+        foreign: false,
     })
 }
 
@@ -375,13 +377,21 @@
 }
 
 fn decision_message(serial: u64, decision: Decision) -> PermitDecisionMessage {
-    let (kind, paused) = match decision {
-        Decision::Grant { target, .. } => (DecisionKind::Grant(target.to_string()), false),
+    let (mut paused, mut foreign) = (false, false);
+    let kind = match decision {
+        Decision::Grant { target, .. } => DecisionKind::Grant(target.to_string()),
         Decision::Refuse { wait, .. } => match wait {
-            ExpectedWait::For(wait) => (DecisionKind::Refuse(wait.as_millis() as u64), false),
+            ExpectedWait::For(wait) => DecisionKind::Refuse(wait.as_millis() as u64),
+            ExpectedWait::Foreign(wait) => {
+                foreign = true;
+                DecisionKind::Refuse(wait.as_millis() as u64)
+            }
             // Rounded up, so that the caller doesn't return too early.
-            ExpectedWait::Paused(left) => (DecisionKind::Refuse(left.as_millis() as u64 + 1), true),
-            ExpectedWait::Unknown => (DecisionKind::Unusable(true), false),
+            ExpectedWait::Paused(left) => {
+                paused = true;
+                DecisionKind::Refuse(left.as_millis() as u64 + 1)
+            }
+            ExpectedWait::Unknown => DecisionKind::Unusable(true),
         },
     };
     PermitDecisionMessage {
@@ -389,5 +399,6 @@
         kind: Some(kind),
         paused,
         attempt: 0,
+        foreign,
     }
 }
--- a/crates/pimento_gateway/src/permits.rs
+++ b/crates/pimento_gateway/src/permits.rs
@@ -119,7 +119,9 @@
         record_refusal(inner, needs, shard, preferred, reason);
         search.record_refusal(shard_refusal(needs, reason));
         match reason {
-            RefusalReason::Full(wait) => refusal = refusal.earliest(NoPermit::Full(wait)),
+            RefusalReason::Full(wait) | RefusalReason::Foreign(wait) => {
+                refusal = refusal.earliest(NoPermit::Full(wait));
+            }
             RefusalReason::Paused(left) => refusal = refusal.earliest(NoPermit::Paused(left)),
             RefusalReason::Unusable | RefusalReason::Unreachable => {}
         }
@@ -146,6 +148,7 @@
         RefusalReason::Unusable if needs.tried.is_empty() => ShardRefusal::Unusable,
         RefusalReason::Unusable
         | RefusalReason::Full(_)
+        | RefusalReason::Foreign(_)
         | RefusalReason::Paused(_)
         | RefusalReason::Unreachable => ShardRefusal::Busy,
     }
@@ -161,10 +164,10 @@
     reason: RefusalReason,
 ) {
     let wait = match reason {
-        RefusalReason::Full(wait) if !preferred => wait,
+        RefusalReason::Full(wait) | RefusalReason::Foreign(wait) if !preferred => wait,
         RefusalReason::Paused(left) => left,
         RefusalReason::Unusable | RefusalReason::Unreachable => UNUSABLE_SHARD_BACKOFF,
-        RefusalReason::Full(_) => return,
+        RefusalReason::Full(_) | RefusalReason::Foreign(_) => return,
     };
     let (now, refusal) = (inner.clock.now(), shard_refusal(needs, reason));
     let mut shard_backoff = inner.shard_backoff.borrow_mut();
@@ -175,6 +178,7 @@
 fn log_refusal(inner: &Inner, needs: &PermitNeeds<'_>, shard: &Shard, reason: RefusalReason) {
     let (cause, wait) = match reason {
         RefusalReason::Full(wait) => ("all places are taken", Some(wait)),
+        RefusalReason::Foreign(wait) => ("free places are kept for other objects", Some(wait)),
         RefusalReason::Paused(left) => ("all targets pause", Some(left)),
         RefusalReason::Unusable => ("no target can be used", None),
         RefusalReason::Unreachable => ("the granting VM did not answer", None),
