--- a/crates/pimento_fleet/src/pending_requests.rs
+++ b/crates/pimento_fleet/src/pending_requests.rs
@@ -119,17 +119,18 @@
         }
         (resend, abandoned)
     }
-}
 
-impl PendingRequests {
     /// Whether a request reached its deadline, or its owner seems unreachable.
     fn is_lost(&self, now: Time, request: &PendingRequest) -> bool {
-        let to_owner = self.requests.iter().filter(|p| p.to == request.to);
-        let missed: u32 = to_owner.map(|p| p.sends).sum();
-        let is_unreachable = request.resend_at <= now
-            && request.sends >= MIN_SENDS
-            && (request.queued || missed >= MIN_MISSED);
-        request.deadline <= now || is_unreachable
+        let is_silent = request.resend_at <= now && request.sends >= MIN_SENDS;
+        request.deadline <= now
+            || is_silent && (request.queued || self.missed_by(&request.to) >= MIN_MISSED)
+    }
+
+    /// The transmissions that an owner has not answered.
+    fn missed_by(&self, owner: &SocketAddr) -> u32 {
+        let to_owner = self.requests.iter().filter(|p| p.to == *owner);
+        to_owner.map(|p| p.sends).sum()
     }
 }
 
