Don't pass on the body of a refusal that looks like a success

A target's answer with a success status and the header that says it did not run was a refusal while it was buffered; a large one would have been streamed. Test refusal_is_not_passed_on fails without the check.

--- a/crates/pimento_gateway/src/attempt.rs
+++ b/crates/pimento_gateway/src/attempt.rs
@@ -277,7 +277,8 @@
         } else {
             self.deadline
         };
-        let body = if transfer == Transfer::Streamed && parts.status.is_success() {
+        let is_success = parts.status.is_success() && !shed;
+        let body = if transfer == Transfer::Streamed && is_success {
             if let Some(length) = length {
                 parts.headers.insert(CONTENT_LENGTH, length.into());
             }
--- a/crates/pimento_gateway/tests/large_answers.rs
+++ b/crates/pimento_gateway/tests/large_answers.rs
@@ -70,6 +70,18 @@
     );
 }
 
+#[actix_rt::test]
+async fn refusal_is_not_passed_on() {
+    let script = |received: Received<'_>| {
+        let head = head(received.id, LENGTH).replace("Stamp: s", "Not-Run: 1");
+        (head + &"x".repeat(FIRST_PART), Then::Stall)
+    };
+    let target = RawTarget::start("t0", script).await;
+    let test_bed = TestBed::start_raw_on_link(LINK_RATE, &[&target]).await;
+    let reply = test_bed.call_as("r1", "/safe/x", "").await;
+    assert_eq!(reply.status, 503);
+}
+
 #[actix_rt::test]
 async fn small_one_is_retried() {
     let target = stalling_target(5, 2).await;
