--- a/review/standin/system.rs
+++ b/review/standin/system.rs
@@ -33,8 +33,6 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
@@ -223,10 +221,6 @@
         }
         newest.map(|(_, i)| i)
     }
-
-    pub fn folder(&self) -> &Path {
-        &self.folder
-    }
 }
 
 impl Drop for System {
--- a/review/standin/target.rs
+++ b/review/standin/target.rs
@@ -25,10 +25,6 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub at: f64,
-    pub id: String,
-    pub start: String,
-    pub body_bytes: usize,
-    pub body_hash: u64,
 }
 
 pub struct Shared {
@@ -52,10 +48,6 @@
 #[derive(Clone)]
 pub struct Target(pub Arc<Shared>);
 
-pub fn hash(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3))
-}
-
 impl Target {
     /// Starts to listen and to send heartbeats.
     pub fn start(record: &Record, controls: &[SocketAddr], ip: Ipv4Addr, id: &str, service: &str, zone: &'static str, slots: u32, work: Duration, cold: Duration) -> Result<Self, String> {
@@ -118,10 +110,6 @@
         }
         let run = Run {
             at: shared.record.now(),
-            id: request_id.clone(),
-            start: request.start.clone(),
-            body_bytes: request.body.len(),
-            body_hash: hash(&request.body),
         };
         shared.record.line(format!("run at {} ({}): id {request_id}, {}, body of {} bytes", shared.id, shared.zone, request.start, request.body.len()));
         shared.runs.lock().expect("no holder panics").push(run);
