Write the log again after a failed write

Cause: a replica whose write had failed marked itself as failed for the life of its process, and the process ran on. A full disk that passes cost the group a replica for good; three such voters of five leave no majority.

Ruled out: the group's rules for removing members. Those keep min_voters, which is right; the replicas were healthy again and did not say so.

Change: such a replica still takes no part, as if frozen, but writes its whole persistent state to a new file every 250 ms until that is durable. Raft::rewrite returns a write that supersedes all earlier ones, Store::rebuild trusts nothing of the old file, and the replica goes on from its memory, which only ever ran ahead of what it had acknowledged.

--- a/crates/pimento_consensus/src/effect.rs
+++ b/crates/pimento_consensus/src/effect.rs
@@ -62,9 +62,12 @@
 pub struct Write {
     /// A sequence number, to be passed to `Raft::record_synced`.
     pub seq: u64,
+    /// Whether it contains the whole persistent state, and replaces everything
+    /// written before. Always set with a snapshot.
+    pub replaces: bool,
     /// The term and vote.
     pub hard_state: HardState,
-    /// If present, it replaces everything written before.
+    /// The newest snapshot, if the write replaces everything and there is one.
     pub snapshot: Option<Snapshot>,
     /// Entries to append; an entry at or below the last written index removes
     /// the entry with that index and all later ones first.
--- a/crates/pimento_consensus/src/raft.rs
+++ b/crates/pimento_consensus/src/raft.rs
@@ -64,8 +64,9 @@
     dirty: bool,
     /// The entries that the current operation appended.
     pub(crate) unsaved_entries: Vec<Entry>,
-    /// Whether the current operation replaced the snapshot.
-    pub(crate) snapshot_replaced: bool,
+    /// Whether the next write contains the whole persistent state, since the
+    /// snapshot was replaced or an earlier write failed.
+    pub(crate) rewrites_all: bool,
     effects: Vec<Effect>,
 }
 
@@ -112,7 +113,7 @@
             pending_messages: VecDeque::new(),
             dirty: false,
             unsaved_entries: Vec::new(),
-            snapshot_replaced: false,
+            rewrites_all: false,
             effects: Vec::new(),
             log,
             config,
@@ -238,13 +239,20 @@
         self.finish(now)
     }
 
+    /// Returns a write of the whole persistent state, which supersedes all earlier
+    /// ones. A caller whose write failed can't know what of it reached the disk.
+    pub fn rewrite(&mut self) -> Write {
+        self.rewrites_all = true;
+        self.take_write()
+    }
+
     /// Stores a snapshot of the state as of an applied entry and drops older
     /// entries.
     pub fn compact(&mut self, now: Time, index: u64, data: Bytes) -> Vec<Effect> {
         let newer = self.log.snapshot.as_ref().is_none_or(|s| s.index < index);
         if newer && index <= self.commit_index {
             let trailing = self.config.trailing_entries;
-            self.snapshot_replaced = self.log.compact(index, data, trailing).is_some();
+            self.rewrites_all = self.log.compact(index, data, trailing).is_some();
         }
         self.finish(now)
     }
@@ -364,7 +372,7 @@
 
     /// Whether the current operation has changes to persist.
     pub(crate) fn is_dirty(&self) -> bool {
-        self.dirty || self.snapshot_replaced
+        self.dirty || self.rewrites_all
     }
 
     /// Appends an entry to the log; it is persisted when the operation ends.
@@ -405,7 +413,7 @@
         if self.role == Role::Leader {
             self.replicate(now);
         }
-        if self.dirty || self.snapshot_replaced {
+        if self.dirty || self.rewrites_all {
             let write = self.take_write();
             self.effects.insert(0, Effect::Persist(write));
         }
@@ -419,13 +427,15 @@
             .push_back((self.write_seq, self.log.last_index()));
         let mut entries = std::mem::take(&mut self.unsaved_entries);
         let mut snapshot = None;
-        if std::mem::take(&mut self.snapshot_replaced) {
+        let replaces = std::mem::take(&mut self.rewrites_all);
+        if replaces {
             snapshot.clone_from(&self.log.snapshot);
             let after = snapshot.as_ref().map_or(0, |s| s.index);
             entries = self.log.entries_from(after + 1).to_vec();
         }
         Write {
             seq: self.write_seq,
+            replaces,
             hard_state: self.hard_state.clone(),
             snapshot,
             entries,
--- a/crates/pimento_consensus/src/snapshot.rs
+++ b/crates/pimento_consensus/src/snapshot.rs
@@ -93,7 +93,7 @@
         self.unmark_durable_after(self.commit_index);
         self.log.reset(snapshot);
         self.unsaved_entries.clear();
-        self.snapshot_replaced = true;
+        self.rewrites_all = true;
         self.commit_index = index;
         self.verified_index = self.verified_index.max(index);
         self.emit(Effect::Restore { index, data });
--- a/crates/pimento_consensus/tests/schedules.rs
+++ b/crates/pimento_consensus/tests/schedules.rs
@@ -6,6 +6,8 @@
 
 /// The number of fixed seeds; the bench runs 10,000 and more.
 const FIXED_SEEDS: u64 = 600;
+/// The number of fixed seeds with disks whose writes fail.
+const FAILING_DISK_SEEDS: u64 = 200;
 /// The number of fixed seeds of groups whose replicas join by themselves.
 const DYNAMIC_SEEDS: u64 = 100;
 
@@ -19,6 +21,16 @@
     }
 }
 
+// A replica whose write had failed never took part again.
+#[test]
+fn failing_disks() {
+    for seed in 0..FAILING_DISK_SEEDS {
+        print!("\rseed {seed}");
+        let sim = Sim::run_failing_disks(seed);
+        assert!(sim.oracle.elections > 0);
+    }
+}
+
 #[test]
 fn dynamic_groups() {
     for seed in 0..DYNAMIC_SEEDS {
--- a/crates/pimento_consensus/tests/sim/faults.rs
+++ b/crates/pimento_consensus/tests/sim/faults.rs
@@ -24,6 +24,8 @@
     pub recovery: f64,
     /// A disk is lost and replaced by an empty one.
     pub disk_loss: f64,
+    /// A write fails, and the replica writes its whole state again.
+    pub disk_failure: f64,
     /// The members are changed.
     pub membership_change: f64,
     /// A replica is asked to transfer its leadership.
@@ -51,6 +53,7 @@
             disconnect: 0.0,
             recovery: 0.0,
             disk_loss: 0.0,
+            disk_failure: 0.0,
             membership_change: 0.0,
             leader_transfer: 0.0,
             propose: 0.0,
@@ -89,6 +92,7 @@
             disconnect: up_to(0.03),
             recovery: 0.03,
             disk_loss: up_to(0.01),
+            disk_failure: 0.0,
             membership_change: up_to(0.05),
             leader_transfer: up_to(0.02),
             propose: 0.1 + up_to(0.8),
@@ -104,8 +108,21 @@
     /// Runs a whole schedule of faults, then ends them and checks that the group
     /// recovers without loss of acknowledged commands.
     pub fn run_schedule(seed: u64) -> Self {
+        Self::run_plan(FaultPlan::random(seed), seed)
+    }
+
+    /// The same with disks whose writes fail at times.
+    pub fn run_failing_disks(seed: u64) -> Self {
+        let plan = FaultPlan {
+            disk_failure: 0.02,
+            ..FaultPlan::random(seed)
+        };
+        Self::run_plan(plan, seed)
+    }
+
+    fn run_plan(plan: FaultPlan, seed: u64) -> Self {
         let size = 3 + (seed % 3) as usize;
-        let mut sim = Self::new(size, FaultPlan::random(seed), seed);
+        let mut sim = Self::new(size, plan, seed);
         sim.run_for(Duration::from_secs(4));
         sim.heal();
         sim.assert_recovers();
@@ -166,6 +183,10 @@
                 self.read(i);
             }
         }
+        if plan.disk_failure > 0.0 && self.chance(plan.disk_failure) {
+            let i = self.pick();
+            self.fail_disk(i);
+        }
         self.inject_disconnect(&plan);
         if self.chance(plan.leader_transfer) {
             let i = self.pick();
--- a/crates/pimento_consensus/tests/sim/mod.rs
+++ b/crates/pimento_consensus/tests/sim/mod.rs
@@ -179,6 +179,14 @@
         self.start(i);
     }
 
+    /// Fails the pending writes of a replica, of which a part may have reached the
+    /// disk; the replica writes its whole state again.
+    pub fn fail_disk(&mut self, i: usize) {
+        let kept = self.rng.random_range(0..=self.nodes[i].pending.len());
+        let torn_records = self.rng.random_range(0..4);
+        self.nodes[i].fail_disk(kept, torn_records);
+    }
+
     /// Disconnects a replica from all others, or reconnects it.
     pub fn set_connected(&mut self, i: usize, connected: bool) {
         for other in (0..self.nodes.len()).filter(|other| *other != i) {
--- a/crates/pimento_consensus/tests/sim/node.rs
+++ b/crates/pimento_consensus/tests/sim/node.rs
@@ -103,13 +103,26 @@
         self.raft = None;
     }
 
+    /// Fails the pending writes, except that the first `durable` and a part of the
+    /// next one reached the disk unnoticed.
+    pub fn fail_disk(&mut self, durable: usize, torn_records: usize) {
+        let Some(raft) = &mut self.raft else { return };
+        let rewrite = raft.rewrite();
+        for _ in 0..durable {
+            self.sync_next();
+        }
+        self.tear_next(torn_records);
+        self.pending.clear();
+        self.pending.push_back(rewrite);
+    }
+
     /// Makes the first records of the next write durable: the term and vote, then
     /// the entries. A write with a snapshot replaces the file as a whole.
     fn tear_next(&mut self, records: usize) {
         let Some(write) = self.pending.front_mut() else {
             return;
         };
-        if records > 0 && write.snapshot.is_none() {
+        if records > 0 && !write.replaces {
             write.entries.truncate(records - 1);
             self.sync_next();
         }
@@ -131,8 +144,8 @@
     fn sync_next(&mut self) -> Option<u64> {
         let write = self.pending.pop_front()?;
         self.saved.hard_state = write.hard_state;
-        if let Some(snapshot) = write.snapshot {
-            self.saved.snapshot = Some(snapshot);
+        if write.replaces {
+            self.saved.snapshot = write.snapshot;
             self.saved.entries.clear();
         }
         let base = self.saved.snapshot.as_ref().map_or(0, |s| s.index);
--- a/crates/pimento_control/src/actor.rs
+++ b/crates/pimento_control/src/actor.rs
@@ -39,6 +39,10 @@
 /// The interval between a leader's heartbeats in dynamic mode.
 const DYNAMIC_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(120);
 
+/// How long after a failed write the whole log is written again. It is a fraction
+/// of the time in which a replica that was away has to catch up.
+const DISK_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The configuration of a control VM's replica.
 #[derive(Clone, Debug)]
 pub struct ControlConfig {
@@ -89,6 +93,17 @@
     }
 }
 
+/// Whether a replica takes part in the group. One that doesn't is as if frozen: it
+/// handles no messages, and acknowledges nothing.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Condition {
+    Working,
+    /// A write failed, and the whole log has to be written again.
+    DiskFailed,
+    /// The process stops, or the replica can't go on without another process.
+    Stopped,
+}
+
 /// The actor that runs one control VM's replica.
 #[derive(Debug)]
 pub struct Control {
@@ -106,14 +121,14 @@
     pub(crate) applied: (u64, u64),
     /// The size of the entries applied since the newest snapshot.
     pub(crate) applied_bytes: usize,
-    /// `None` while a write is in progress, and after a failed one.
+    /// `None` while a write is in progress, and after the writing thread panicked.
     log_writer: Option<LogWriter>,
     /// Writes that wait for the one in progress.
     pending_writes: Vec<Write>,
+    /// Whether a write is in progress.
+    is_writing: bool,
     is_leader: bool,
-    /// Whether the disk failed or the replica stopped. Nothing is acknowledged
-    /// after that.
-    pub(crate) failed: bool,
+    pub(crate) condition: Condition,
     pub(crate) links: Links,
     pub(crate) client: ControlClient,
     pub(crate) log: Logger,
@@ -215,8 +230,9 @@
             applied_bytes: 0,
             log_writer: Some(LogWriter { store, identity }),
             pending_writes: Vec::new(),
+            is_writing: false,
             is_leader: false,
-            failed: false,
+            condition: Condition::Working,
             links,
             client,
             log,
@@ -243,7 +259,7 @@
     fn tick(&mut self, ctx: &mut Context<Self>) {
         let now = self.now();
         self.expire_waiters(now);
-        if !self.failed {
+        if self.is_working() {
             let effects = self.raft.tick(now);
             self.run_effects(effects, ctx);
         }
@@ -322,22 +338,33 @@
 
     /// Starts writing the pending writes, unless a write is in progress.
     fn flush_writes(&mut self, ctx: &mut Context<Self>) {
-        if self.pending_writes.is_empty() || self.failed {
+        if self.pending_writes.is_empty() || !self.is_working() {
             return;
         }
         let Some(mut log_writer) = self.log_writer.take() else {
             return;
         };
         let writes = std::mem::take(&mut self.pending_writes);
-        let task = actix_rt::task::spawn_blocking(move || {
+        self.spawn_write(ctx, move || {
             let result = log_writer.write(writes);
             (log_writer, result)
         });
+    }
+
+    /// Runs a write on a blocking thread.
+    fn spawn_write(
+        &mut self,
+        ctx: &mut Context<Self>,
+        write: impl FnOnce() -> (LogWriter, Result<u64, StoreError>) + Send + 'static,
+    ) {
+        self.is_writing = true;
+        let task = actix_rt::task::spawn_blocking(write);
         let task = task.into_actor(self).map(|finished, control, ctx| {
+            control.is_writing = false;
             if let Ok((log_writer, result)) = finished {
                 control.write_finished(log_writer, result, ctx);
             } else {
-                control.mark_failed("the log writer thread panicked");
+                control.stop_working("the log writer thread panicked");
             }
         });
         ctx.spawn(task);
@@ -355,36 +382,68 @@
             stop_sender.send(()).unwrap_or_default();
             return;
         }
-        match result {
-            Ok(seq) => {
-                self.log_writer = Some(log_writer);
+        self.log_writer = Some(log_writer);
+        match (self.condition, result) {
+            (Condition::Stopped, _) => {}
+            (condition, Ok(seq)) => {
+                if condition == Condition::DiskFailed {
+                    event!(self.log, Event::StoreRecovered);
+                }
+                self.condition = Condition::Working;
                 let effects = self.raft.record_synced(self.now(), seq);
                 self.run_effects(effects, ctx);
             }
-            Err(e) => self.mark_failed(&e.to_string()),
+            (condition, Err(e)) => {
+                if condition == Condition::Working {
+                    event!(self.log, Event::StoreFailed, "reason" => %e);
+                }
+                self.condition = Condition::DiskFailed;
+                self.fail_waiters();
+                ctx.run_later(DISK_RETRY_INTERVAL, Self::rebuild_log);
+            }
         }
     }
 
+    /// Writes the whole log again after a failed write. The write supersedes those
+    /// that wait.
+    fn rebuild_log(&mut self, ctx: &mut Context<Self>) {
+        if self.condition == Condition::Stopped {
+            return;
+        }
+        let Some(mut log_writer) = self.log_writer.take() else {
+            return;
+        };
+        self.pending_writes.clear();
+        let write = self.raft.rewrite();
+        self.spawn_write(ctx, move || {
+            let result = log_writer.rebuild(write);
+            (log_writer, result)
+        });
+    }
+
     /// Stops the replica. The returned receiver completes once the data folder is
     /// closed.
     pub(crate) fn shut_down(&mut self) -> oneshot::Receiver<()> {
         let (stop_sender, stopped) = oneshot::channel();
-        let is_writing = self.log_writer.take().is_none() && !self.failed;
-        self.failed = true;
+        self.log_writer = None;
+        self.condition = Condition::Stopped;
         self.fail_waiters();
-        if is_writing {
+        if self.is_writing {
             self.stop_sender = Some(stop_sender);
         }
         stopped
     }
 
-    /// Marks the replica as failed, so that it acknowledges nothing until the
-    /// process restarts.
-    fn mark_failed(&mut self, reason: &str) {
+    /// Ends the replica's part in the group until the process restarts.
+    pub(crate) fn stop_working(&mut self, reason: &str) {
         event!(self.log, Event::StoreFailed, "reason" => reason);
-        self.failed = true;
+        self.condition = Condition::Stopped;
         self.fail_waiters();
     }
+
+    pub(crate) fn is_working(&self) -> bool {
+        self.condition == Condition::Working
+    }
 }
 
 impl Actor for Control {
--- a/crates/pimento_control/src/apply.rs
+++ b/crates/pimento_control/src/apply.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use pimento_consensus::{Effect, Entry, EntryKind, RejectReason, Snapshot};
 use pimento_core::Time;
-use pimento_log::{Event, event};
 use pimento_state::{Command, State};
 use prost::Message as _;
 use std::sync::Arc;
@@ -88,11 +87,7 @@
     fn restore(&mut self, index: u64, data: &Bytes) {
         match State::restore(data) {
             Ok(state) => self.state = state,
-            Err(e) => {
-                event!(self.log, Event::StoreFailed, "reason" => %e);
-                self.failed = true;
-                return self.fail_waiters();
-            }
+            Err(e) => return self.stop_working(&e.to_string()),
         }
         let term = self.raft.snapshot().map_or(0, |s| s.term);
         self.applied = (index, term);
@@ -267,7 +262,9 @@
     /// Compacts the log into a snapshot once enough entries were applied.
     pub(crate) fn compact(&mut self, ctx: &mut Context<Self>) {
         let snapshot_bytes = self.raft.snapshot().map_or(0, |s| s.data.len());
-        if self.failed || self.applied_bytes < snapshot_bytes.max(MIN_SNAPSHOT_INTERVAL_BYTES) {
+        if !self.is_working()
+            || self.applied_bytes < snapshot_bytes.max(MIN_SNAPSHOT_INTERVAL_BYTES)
+        {
             return;
         }
         self.applied_bytes = 0;
--- a/crates/pimento_control/src/handlers.rs
+++ b/crates/pimento_control/src/handlers.rs
@@ -28,7 +28,7 @@
 impl Control {
     /// Handles a request if this VM is the leader, and redirects it otherwise.
     fn handle_request(&mut self, request: &Request, responder: Responder, ctx: &mut Context<Self>) {
-        if self.failed {
+        if !self.is_working() {
             // Makes the client try another control VM.
             return responder.send(Response::NotLeader(NotLeader::default()));
         }
@@ -132,7 +132,7 @@
     /// Transfers the leadership to another VM if this one is the leader, and
     /// waits for the election there.
     fn transfer_leadership(&mut self, ctx: &mut Context<Self>) -> impl Future<Output = ()> + use<> {
-        let is_leader = !self.failed && self.raft.status().role == Role::Leader;
+        let is_leader = self.is_working() && self.raft.status().role == Role::Leader;
         if is_leader {
             let effects = self.raft.transfer_leadership(self.now());
             self.run_effects(effects, ctx);
@@ -150,7 +150,7 @@
     fn wait_applied(&mut self, index: u64) -> oneshot::Receiver<Response> {
         let (sender, receiver) = oneshot::channel();
         let responder = Responder::new(move |response| drop(sender.send(response)));
-        if self.failed {
+        if !self.is_working() {
             responder.send(ControlError::not_run(Fault::DiskFailed));
             return receiver;
         }
@@ -224,7 +224,7 @@
     pub(crate) fn status(&self) -> ControlStatus {
         let status = self.raft.status();
         let role = match status.role {
-            _ if self.failed => "failed",
+            _ if !self.is_working() => "failed",
             Role::Leader => "leader",
             Role::Follower => "follower",
             Role::PreCandidate | Role::Candidate => "candidate",
@@ -287,7 +287,7 @@
 
     fn handle(&mut self, msg: Incoming, ctx: &mut Context<Self>) {
         match msg.channel {
-            Channel::Consensus if !self.failed => {
+            Channel::Consensus if self.is_working() => {
                 if let Ok(message) = RaftMessage::decode(msg.payload) {
                     let effects = self.raft.receive(self.now(), &msg.from, message);
                     self.run_effects(effects, ctx);
--- a/crates/pimento_control/src/log_writer.rs
+++ b/crates/pimento_control/src/log_writer.rs
@@ -20,10 +20,10 @@
         let mut seq = 0;
         for write in writes {
             seq = write.seq;
-            let has_snapshot = write.snapshot.is_some();
+            let replaces = write.replaces;
             let records = record::encode_write(write, &self.identity);
-            if has_snapshot {
-                // The snapshot supersedes all pending records.
+            if replaces {
+                // The write supersedes all pending records.
                 pending.clear();
                 self.store.replace(&records)?;
             } else {
@@ -35,4 +35,13 @@
         }
         Ok(seq)
     }
+
+    /// Makes the whole persistent state durable after a failed write, and returns
+    /// the sequence number of the write that contains it.
+    pub(crate) fn rebuild(&mut self, write: Write) -> Result<u64, StoreError> {
+        let seq = write.seq;
+        let records = record::encode_write(write, &self.identity);
+        self.store.rebuild(&records)?;
+        Ok(seq)
+    }
 }
--- a/crates/pimento_control/src/membership.rs
+++ b/crates/pimento_control/src/membership.rs
@@ -18,7 +18,7 @@
     /// Requests to join the group if necessary.
     pub(crate) fn request_membership(&mut self, ctx: &mut Context<Self>) {
         let is_needed = self.raft.should_join(self.now()) && !self.is_bootstrapping();
-        if self.failed || !is_needed || self.pending_joins >= MAX_PENDING_JOINS {
+        if !self.is_working() || !is_needed || self.pending_joins >= MAX_PENDING_JOINS {
             return;
         }
         let Some(address) = self.own_address() else {
@@ -103,6 +103,9 @@
 
     /// Removes a member that has been silent for long, if enough others vote.
     pub(crate) fn evict_silent(&mut self, ctx: &mut Context<Self>) {
+        if !self.is_working() {
+            return;
+        }
         let silent = self.raft.member_to_remove(self.now());
         let Some(vm) = silent else { return };
         event!(self.log, Event::MemberChange, "change" => "remove a silent member",
--- a/crates/pimento_control/src/record.rs
+++ b/crates/pimento_control/src/record.rs
@@ -59,11 +59,11 @@
     Record { kind }.encode_to_vec().into()
 }
 
-/// Encodes the records of a write. One with a snapshot starts a new file and
-/// therefore includes the identity.
+/// Encodes the records of a write. One that replaces everything starts a new file
+/// and therefore includes the identity.
 pub(crate) fn encode_write(write: Write, identity: &Identity) -> Vec<Bytes> {
+    let identity = write.replaces.then(|| identity.encode_record());
     let snapshot = write.snapshot.map(RecordKind::Snapshot);
-    let identity = snapshot.is_some().then(|| identity.encode_record());
     let hard_state = std::iter::once(RecordKind::HardState(write.hard_state));
     let entries = write.entries.into_iter().map(RecordKind::Entry);
     let rest = snapshot.into_iter().chain(hard_state).chain(entries);
--- a/crates/pimento_control/tests/disk.rs
+++ b/crates/pimento_control/tests/disk.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use pimento_control::{
-    Control, ControlConfig, ControlError, Fault, GetRules, MembershipMode, Propose,
+    Control, ControlClient, ControlConfig, ControlError, Fault, GetRules, MembershipMode, Propose,
 };
 use pimento_core::VmId;
 use pimento_state::Command;
@@ -16,6 +16,18 @@
     }
 }
 
+/// Proposes a command until it is accepted, as operators do, since an election drops
+/// commands; returns its index.
+async fn propose_repeatedly(client: &ControlClient) -> u64 {
+    const MAX_ATTEMPTS: usize = 5;
+    for _ in 0..MAX_ATTEMPTS {
+        if let Ok(outcome) = client.propose(&Command::default()).await {
+            return outcome.index;
+        }
+    }
+    panic!("no command was accepted");
+}
+
 #[actix_rt::test]
 async fn leader_with_full_disk_is_replaced() {
     let mut cluster = Cluster::new(3);
@@ -45,6 +57,62 @@
         .await;
 }
 
+// After the disks of four VMs had been full in turn, the group had no majority any more.
+#[actix_rt::test]
+async fn disks_full_in_turn() {
+    const VMS: usize = 6;
+    const FULL_DISKS: usize = 4;
+    let mut cluster = Cluster::new(VMS);
+    for i in 0..VMS {
+        cluster.start_dynamic(i, true);
+    }
+    cluster.wait_for_leader(VMS).await;
+    let client = cluster.client();
+    for i in 0..FULL_DISKS {
+        cluster.disk_full[i].store(true, Ordering::Relaxed);
+        // If the VM leads, the command may be lost with its disk.
+        drop(client.propose(&Command::default()).await);
+        cluster
+            .wait_for_status(i, |status| status.role == "failed")
+            .await;
+        propose_repeatedly(&client).await;
+        cluster.disk_full[i].store(false, Ordering::Relaxed);
+        cluster
+            .wait_for_status(i, |status| status.role != "failed")
+            .await;
+        cluster.wait_for_leader(VMS).await;
+    }
+    let last_index = propose_repeatedly(&client).await;
+    for i in 0..VMS {
+        cluster
+            .wait_for_status(i, |status| status.applied >= last_index)
+            .await;
+        let addr = cluster.vms[i].clone().unwrap();
+        addr.send(GetRules).await.unwrap().unwrap();
+    }
+}
+
+// What was acknowledged after a full disk has to be in the log that is written again.
+#[actix_rt::test]
+async fn rebuilt_log_survives_restart() {
+    let mut cluster = Cluster::new(1);
+    cluster.start(0);
+    cluster.wait_for_leader(1).await;
+    let addr = cluster.vms[0].clone().unwrap();
+    addr.send(propose()).await.unwrap().unwrap();
+    cluster.disk_full[0].store(true, Ordering::Relaxed);
+    let error = addr.send(propose()).await.unwrap().unwrap_err();
+    assert_eq!(error, ControlError::may_have_run(Fault::DiskFailed));
+    cluster.disk_full[0].store(false, Ordering::Relaxed);
+    cluster.wait_for_leader(1).await;
+    let last_index = addr.send(propose()).await.unwrap().unwrap().index;
+    cluster.stop(0).await;
+    cluster.start(0);
+    cluster
+        .wait_for_status(0, |status| status.applied >= last_index)
+        .await;
+}
+
 #[actix_rt::test]
 async fn locked_or_foreign_folder_is_refused() {
     let mut cluster = Cluster::new(1);
--- a/crates/pimento_log/src/event.rs
+++ b/crates/pimento_log/src/event.rs
@@ -109,10 +109,13 @@
     MemberChange = 604, Info, "member change asked for";
     /// The data folder was opened.
     StoreOpened = 701, Info, "data folder opened";
-    /// A write or sync failed; the process acknowledges nothing from then on.
+    /// A write or sync failed; the replica acknowledges nothing until its log is
+    /// written again.
     StoreFailed = 702, Critical, "data folder failed";
     /// A torn record at the end of the log file was removed.
     TailCut = 703, Warning, "torn log tail cut off";
+    /// The whole log was written again after a failed write.
+    StoreRecovered = 704, Info, "data folder works again";
     /// New rules are in force on this VM.
     RulesApplied = 801, Info, "rules in force";
     /// A release note was rejected.
--- a/crates/pimento_storage/src/store.rs
+++ b/crates/pimento_storage/src/store.rs
@@ -42,7 +42,7 @@
         source: io::Error,
     },
     /// An earlier write or sync failed, so the content of the disk is unknown.
-    #[error("an earlier write failed; the process must be restarted")]
+    #[error("an earlier write failed; all records must be written again")]
     Poisoned,
 }
 
@@ -57,9 +57,9 @@
 
 /// An append-only log of opaque records.
 ///
-/// After the first failed write or sync it rejects all further ones: the
-/// operating system may have dropped the data, so a second sync could succeed
-/// although nothing is durable.
+/// After a failed write or sync it rejects all further ones until
+/// [`Self::rebuild`] has written everything again: the operating system may have
+/// dropped the data, so a second sync could succeed although nothing is durable.
 #[derive(Debug)]
 pub struct Store<D> {
     disk: D,
@@ -127,6 +127,22 @@
     /// acknowledged any more.
     pub fn replace(&mut self, records: &[Bytes]) -> Result<(), StoreError> {
         self.check_not_poisoned()?;
+        self.write_all(records)
+    }
+
+    /// Writes all records to a new file after a failed write, so that nothing
+    /// depends on what is left of the old one. The store then works again.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] if this write fails, too; it may be repeated.
+    pub fn rebuild(&mut self, records: &[Bytes]) -> Result<(), StoreError> {
+        self.write_all(records)?;
+        self.poisoned = false;
+        Ok(())
+    }
+
+    fn write_all(&mut self, records: &[Bytes]) -> Result<(), StoreError> {
         let data = append_records(MAGIC.to_vec(), records);
         let result = self.disk.create(NEXT_LOG_FILE, &data);
         self.poison_on_error("write", NEXT_LOG_FILE, result)?;
--- a/crates/pimento_storage/tests/failures.rs
+++ b/crates/pimento_storage/tests/failures.rs
@@ -100,6 +100,44 @@
     }
 }
 
+// A store whose write had failed took no more records until the process ended.
+#[test]
+fn rebuild_after_failure() {
+    const STEPS: usize = 12;
+    for seed in 0..20 {
+        let disk = MemoryDisk::default();
+        write_until_failure(&disk, seed, STEPS);
+        for operation in 1..=disk.operations() {
+            let disk = MemoryDisk::default();
+            let (mut store, _) = Store::open(disk.clone()).unwrap();
+            let mut acked = Vec::new();
+            let first = disk.operations();
+            disk.fail_at(first + operation);
+            let mut failures = 0;
+            for step in 0..STEPS {
+                acked.push(Bytes::from(vec![step as u8; 20]));
+                let newest = acked.last().cloned();
+                if store.append(&Vec::from_iter(newest)).is_err() {
+                    failures += 1;
+                    // The rebuild fails as well, and is repeated.
+                    disk.fail_at(disk.operations() + 1 + operation % 4);
+                    store.rebuild(&acked).unwrap_err();
+                    let refused = store.append(&[Bytes::new()]);
+                    assert!(matches!(refused, Err(StoreError::Poisoned)), "{refused:?}");
+                    store.rebuild(&acked).unwrap();
+                }
+            }
+            assert!(failures <= 1);
+            disk.crash(seed ^ operation as u64);
+            let (_, recovery) = Store::open(disk.clone()).unwrap();
+            assert_eq!(
+                recovery.records, acked,
+                "seed {seed}, operation {operation}"
+            );
+        }
+    }
+}
+
 #[test]
 fn opening_fails() {
     for seed in 0..50 {
