Confirm leaves and drains only when the entry VMs are known

Cause: a process that has just started took what it had not heard of for what does not exist. It acknowledged the end of an unknown target at once, and a report that must be confirmed by all live entry VMs waited for none, as none was known. A control VM that wakes from a freeze believes all entry VMs dead, with the same result.

Change: the end of an unknown target is recorded and spread like any other. A report that binds is confirmed no earlier than a failure timeout after the start or after a gap in the ticks, and entry VMs that are heard meanwhile are added to those that must confirm it.

--- a/crates/pimento_fleet/src/broadcast.rs
+++ b/crates/pimento_fleet/src/broadcast.rs
@@ -2,7 +2,7 @@
 
 use crate::message::{Body, TargetUpdateMessage};
 use pimento_core::Time;
-use pimento_registry::Target;
+use pimento_registry::{Stage, Target};
 use std::{net::SocketAddr, time::Duration};
 
 /// The time after which an unacknowledged update is sent again.
@@ -17,6 +17,8 @@
     id: u64,
     target: Target,
     started: Time,
+    /// Before this time other entry VMs that need it may not be known yet.
+    confirm_from: Time,
     resend_at: Time,
     /// The entry VMs that have not acknowledged.
     entries: Vec<SocketAddr>,
@@ -48,12 +50,19 @@
 impl UpdateBroadcast {
     /// Starts a broadcast and returns its id, by which
     /// [`Self::take_confirmed`] reports it.
-    pub(crate) fn start(&mut self, now: Time, target: Target, recipients: Recipients) -> u64 {
+    pub(crate) fn start(
+        &mut self,
+        now: Time,
+        target: Target,
+        recipients: Recipients,
+        confirm_from: Time,
+    ) -> u64 {
         self.last_id += 1;
         self.updates.push(TargetUpdate {
             id: self.last_id,
             target,
             started: now,
+            confirm_from,
             resend_at: now,
             entries: recipients.entries,
             controls: recipients.controls,
@@ -85,6 +94,17 @@
         update.entries.retain(|a| a != from);
     }
 
+    /// Adds a recipient to the updates that targets wait for.
+    pub(crate) fn add_entry(&mut self, entry: SocketAddr) {
+        let is_awaited =
+            |u: &&mut TargetUpdate| u.unconfirmed && u.target.stage > Stage::Ready as i32;
+        for update in self.updates.iter_mut().filter(is_awaited) {
+            if !update.entries.contains(&entry) {
+                update.entries.push(entry);
+            }
+        }
+    }
+
     /// Stops waiting for entry VMs that are dead.
     pub(crate) fn drop_recipients(&mut self, is_dead: impl Fn(&SocketAddr) -> bool) {
         for update in &mut self.updates {
@@ -93,10 +113,11 @@
     }
 
     /// The updates that became confirmed since the last call.
-    pub(crate) fn take_confirmed(&mut self) -> Vec<(u64, Target)> {
+    pub(crate) fn take_confirmed(&mut self, now: Time) -> Vec<(u64, Target)> {
         let mut confirmed = Vec::new();
         for update in &mut self.updates {
-            if update.unconfirmed && update.entries.is_empty() && update.acks_needed == 0 {
+            let has_acks = update.entries.is_empty() && update.acks_needed == 0;
+            if update.unconfirmed && has_acks && now >= update.confirm_from {
                 update.unconfirmed = false;
                 confirmed.push((update.id, update.target.clone()));
             }
--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -11,6 +11,7 @@
     pending_requests::PendingRequests,
     propagation::ConfirmedReport,
     routable::RoutableTargets,
+    settling::Settling,
     shards::ShardMap,
     suspects::Suspects,
 };
@@ -70,6 +71,8 @@
     pub(crate) in_sync: bool,
     /// The digest of the newest member list.
     pub(crate) list_digest: u64,
+    /// Whether the list of live entry VMs is complete.
+    pub(crate) settling: Settling,
     /// Reports that were acknowledged by all processes that must have them.
     pub(crate) confirmed: VecDeque<ConfirmedReport>,
     next_heartbeat: Time,
@@ -105,6 +108,7 @@
             requesters: Vec::new(),
             in_sync: false,
             list_digest: 0,
+            settling: Settling::default(),
             confirmed: VecDeque::new(),
             next_heartbeat: Time::ZERO,
             applied: AppliedRevisions::default(),
@@ -116,6 +120,7 @@
     /// Advances the time. It must be called every few tens of milliseconds.
     pub fn tick(&mut self, now: Time) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.settling.record_tick(now, self.config.failure_timeout);
         if now >= self.next_heartbeat {
             let starting = self.config.local.stage == Stage::Starting as i32;
             self.next_heartbeat = now
@@ -131,7 +136,7 @@
         }
         self.suspects.expire(now);
         self.drop_dead_recipients(now);
-        effects.extend(self.confirm_updates());
+        effects.extend(self.confirm_updates(now));
         let updates = self.broadcast.take_due(now);
         effects.extend(updates.into_iter().map(|(to, body)| send(to, body)));
         effects.extend(self.flush_updates(now));
@@ -148,6 +153,12 @@
         self.items_sender
     }
 
+    /// Whether a process was heard within the failure timeout.
+    pub(crate) fn is_live(&self, now: Time, address: &SocketAddr) -> bool {
+        let node = self.members.get(address);
+        node.is_some_and(|n| now.since(n.last_heard) < self.config.failure_timeout)
+    }
+
     /// The processes that were heard within the failure timeout.
     pub(crate) fn live_nodes(&self, now: Time) -> impl Iterator<Item = &crate::Node> {
         self.members.heard_within(now, self.config.failure_timeout)
--- a/crates/pimento_fleet/src/lib.rs
+++ b/crates/pimento_fleet/src/lib.rs
@@ -25,6 +25,7 @@
 mod routable;
 mod routing;
 mod rtt;
+mod settling;
 mod shards;
 mod suspects;
 mod view;
--- a/crates/pimento_fleet/src/propagation.rs
+++ b/crates/pimento_fleet/src/propagation.rs
@@ -77,28 +77,32 @@
         let pending = self.broadcast.find_pending(&current);
         let update_id = pending.unwrap_or_else(|| {
             let recipients = self.recipients(now, must_confirm);
-            self.broadcast.start(now, current.clone(), recipients)
+            let confirm_from = self.settling.settled_at(now, self.config.failure_timeout);
+            self.broadcast
+                .start(now, current.clone(), recipients, confirm_from)
         });
         if !must_confirm {
             self.pending_updates.push(current);
         }
         let updates = self.broadcast.take_due(now);
         effects.extend(updates.into_iter().map(|(to, body)| send(to, body)));
-        effects.extend(self.confirm_updates());
+        effects.extend(self.confirm_updates(now));
         (must_confirm.then_some(update_id), effects)
     }
 
     /// Records the end of a target. Returns the same as
     /// [`Self::report_target`].
+    ///
+    /// A target that is unknown here may be known elsewhere, for example if this
+    /// process has just started, so its end is spread as well.
     pub fn end_target(
         &mut self,
         now: Time,
         id: &str,
         incarnation: Option<u64>,
     ) -> (Option<u64>, Vec<Effect>) {
-        let Some(target) = self.registry.mark_gone(now, id, incarnation) else {
-            return (None, Vec::new());
-        };
+        let known = self.registry.mark_gone(now, id, incarnation);
+        let target = known.unwrap_or_else(|| Target::gone(id, incarnation.unwrap_or_default()));
         let (update_id, mut effects) = self.report_target(now, &target);
         effects.push(Effect::ViewChanged);
         (update_id, effects)
@@ -120,6 +124,15 @@
         }
     }
 
+    /// Sends the updates that targets wait for also to an entry VM that was not known
+    /// to be alive when they began.
+    pub(crate) fn add_recipient(&mut self, address: SocketAddr) {
+        let node = self.members.get(&address);
+        if node.is_some_and(|n| n.has_role(Role::Entry)) {
+            self.broadcast.add_entry(address);
+        }
+    }
+
     /// Sends the updates since the last call to the entry VMs that follow this
     /// control VM. If the message is lost, they get the updates when they next
     /// compare their target digests.
@@ -160,9 +173,9 @@
     /// Reports the updates that became confirmed. The other control VMs are
     /// told about drains, since the target may send its next report to any of
     /// them.
-    pub(crate) fn confirm_updates(&mut self) -> Vec<Effect> {
+    pub(crate) fn confirm_updates(&mut self, now: Time) -> Vec<Effect> {
         let mut effects = Vec::new();
-        for (update_id, target) in self.broadcast.take_confirmed() {
+        for (update_id, target) in self.broadcast.take_confirmed(now) {
             effects.push(Effect::Confirmed { update_id });
             if target.stage > Stage::Ready as i32 {
                 let message = Body::UpdateConfirmed(target.clone());
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -45,7 +45,7 @@
             }
             Body::UpdateAck(update_id) => {
                 self.broadcast.record_ack(&from, update_id);
-                self.confirm_updates()
+                self.confirm_updates(now)
             }
             Body::UpdateConfirmed(target) => {
                 let effects = self.merge_targets(now, std::slice::from_ref(&target));
@@ -68,7 +68,11 @@
         from: SocketAddr,
         heartbeat: &Heartbeat,
     ) -> Vec<Effect> {
+        let was_live = self.is_live(now, &from);
         let changed = self.members.observe(now, from, &heartbeat.info);
+        if changed || !was_live {
+            self.add_recipient(from);
+        }
         let is_full = !heartbeat.buckets.is_empty();
         let differing = self.differing_buckets(&heartbeat.buckets);
         let in_sync = differing.is_empty();
@@ -117,9 +121,13 @@
         from: SocketAddr,
         heartbeat: &ShortHeartbeat,
     ) -> Vec<Effect> {
+        let was_live = self.is_live(now, &from);
         if !self.members.record_alive(now, &from, heartbeat.incarnation) {
             return vec![send(from, Body::UnknownProcess(true))];
         }
+        if !was_live {
+            self.add_recipient(from);
+        }
         let mut effects = Vec::new();
         if let Some(node) = self.members.get_mut(&from) {
             node.revision = heartbeat.revision;
--- a/crates/pimento_fleet/tests/draining.rs
+++ b/crates/pimento_fleet/tests/draining.rs
@@ -113,6 +113,62 @@
     assert_eq!(entries_with(&world), 0);
 }
 
+/// Repeats a target's last report until a control VM acknowledges it, and checks
+/// that no entry VM sends requests to the target afterwards.
+fn assert_binds(world: &mut World, control: usize, report: impl Fn(&mut World) -> Option<u64>) {
+    const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+    let acknowledged = (0..40).any(|_| {
+        let Some(update_id) = report(world) else {
+            return true;
+        };
+        world.run_until(RETRY_INTERVAL, |w| {
+            w.processes[control].confirmed.contains(&update_id)
+        })
+    });
+    assert!(acknowledged);
+    assert_eq!(entries_with(world), 0);
+    world.run(3 * SECOND);
+    assert_eq!(entries_with(world), 0);
+}
+
+// A control VM that had just started acknowledged that a target it didn't know leaves or
+// drains, and no entry VM heard of it.
+#[test]
+fn leave_after_restart_of_all_controls() {
+    for delay_ms in [0, 20, 100, 300, 800] {
+        for stage in [Stage::Draining, Stage::Gone] {
+            let mut world = settled_world(delay_ms);
+            for i in world.with_role(Role::Control) {
+                world.restart(i);
+            }
+            world.run(Duration::from_millis(delay_ms));
+            assert_binds(&mut world, 2, |w| match stage {
+                Stage::Gone => w.end(2, "t", Some(1)),
+                _ => w.report(2, &target("t", stage, 2)),
+            });
+        }
+    }
+}
+
+// The same for a control VM that was frozen: all entry VMs look dead to it. The other
+// control VMs can't help, since they are cut off from the entry VMs.
+#[test]
+fn leave_at_frozen_control() {
+    for stage in [Stage::Draining, Stage::Gone] {
+        let mut world = settled_world(1);
+        world.processes[2].frozen = true;
+        world.run(5 * SECOND);
+        for i in world.with_role(Role::Control) {
+            world.processes[i].cut_from = (i != 2).then_some(Role::Entry);
+        }
+        world.processes[2].frozen = false;
+        assert_binds(&mut world, 2, |w| match stage {
+            Stage::Gone => w.end(2, "t", Some(1)),
+            _ => w.report(2, &target("t", stage, 2)),
+        });
+    }
+}
+
 /// Restarts all processes, one after the other.
 fn restart_in_turn(world: &mut World) {
     for i in 0..world.processes.len() {
--- a/crates/pimento_fleet/tests/world/mod.rs
+++ b/crates/pimento_fleet/tests/world/mod.rs
@@ -230,6 +230,14 @@
         update_id
     }
 
+    pub fn end(&mut self, i: usize, id: &str, incarnation: Option<u64>) -> Option<u64> {
+        let (update_id, effects) = self.processes[i]
+            .fleet
+            .end_target(self.now, id, incarnation);
+        self.apply(i, effects);
+        update_id
+    }
+
     pub fn request_permit(&mut self, i: usize, serial: u64) {
         let effects = self.processes[i]
             .fleet
--- a/crates/pimento_registry/src/registry.rs
+++ b/crates/pimento_registry/src/registry.rs
@@ -166,7 +166,7 @@
         let entry = &mut self.entries[at];
         let before = entry.target.digest();
         entry.last_heard = now;
-        let is_newer = report.seq > entry.target.seq;
+        let is_newer = report.seq > entry.target.seq || entry.target.is_only_end();
         let cold_until = now + Duration::from_millis(report.cold_ms.into());
         let is_colder = report.cold_ms > 0 && cold_until > entry.cold_until + COLD_TOLERANCE;
         let stage = entry.target.stage.max(report.stage);
--- a/crates/pimento_registry/src/target.rs
+++ b/crates/pimento_registry/src/target.rs
@@ -49,6 +49,21 @@
 }
 
 impl Target {
+    /// An incarnation of which only its end is known.
+    pub fn gone(id: &str, incarnation: u64) -> Self {
+        Self {
+            id: id.to_owned(),
+            incarnation,
+            stage: Stage::Gone as i32,
+            ..Self::default()
+        }
+    }
+
+    /// Whether only its end is known, see [`Self::gone`].
+    pub(crate) const fn is_only_end(&self) -> bool {
+        self.address.is_empty()
+    }
+
     /// A hash of the fields that must be equal on all VMs.
     pub(crate) fn digest(&self) -> u32 {
         let parts = [
