Tie an evacuation order to its sender and to the order before it

Cause: an evacuation's only version is its position in the log, so a withdrawal that had lain in the frozen VM's socket counted as the newest order, though its sender had left and sent others since. The HTTP server drops the call of a sender that has left, but only after a first poll, in which the order was proposed: the woken VM logged no decision on the call that it had carried out.

Change: an order first reads the position of the domain's last order with a quorum, then lets the server notice that the sender has left, and is then proposed with that position; the state machine skips it if another order came in between.

--- a/crates/pimento_control/src/lib.rs
+++ b/crates/pimento_control/src/lib.rs
@@ -9,6 +9,7 @@
 mod backup;
 mod client;
 mod error;
+mod evacuation;
 mod fence;
 mod handlers;
 mod log_writer;
@@ -23,6 +24,7 @@
 pub use backup::{RestoredBackup, restore_backup};
 pub use client::ControlClient;
 pub use error::{ControlError, Fault};
+pub use evacuation::order_evacuation;
 pub use messages::{
     Backup, CatalogChanged, ChangeMembers, ControlStatus, GetRules, GetStatus, MemberStatus,
     Propose,
--- a/crates/pimento_items/src/catalog.rs
+++ b/crates/pimento_items/src/catalog.rs
@@ -68,16 +68,17 @@
     }
 
     /// Starts or ends the evacuation of a failure domain. The index in the
-    /// replicated log serves as the item's version.
+    /// replicated log serves as the item's version. An order that changes nothing
+    /// also counts as the last one, but followers need not learn of it.
     pub fn set_evacuated(&mut self, log_index: u64, domain: &str, evacuated: bool) {
-        if self.is_evacuated(domain) == evacuated {
-            return;
-        }
+        let is_change = self.is_evacuated(domain) != evacuated;
         let body = evacuated.then_some(Body::Evacuation(()));
         let mut item = Item::removal(ItemKind::Evacuation, domain, log_index);
         item.body = body;
         self.insert(item, log_index);
-        self.revision = log_index;
+        if is_change {
+            self.revision = log_index;
+        }
     }
 
     /// Merges items that the control group accepted, in any order; returns
@@ -143,6 +144,13 @@
         self.body(ItemKind::Evacuation, domain).is_some()
     }
 
+    /// The log index of the last order for a failure domain; 0 if there was none.
+    pub fn evacuation_index(&self, domain: &str) -> u64 {
+        let kind = ItemKind::Evacuation as i32;
+        let found = self.find(&ItemKey { kind, name: domain });
+        found.map_or(0, |i| self.accepted[i].log_index)
+    }
+
     /// Encodes the catalog for snapshots.
     pub fn encode(&self) -> Vec<u8> {
         let encoded = EncodedCatalog {
--- a/crates/pimento_items/tests/offers.rs
+++ b/crates/pimento_items/tests/offers.rs
@@ -134,6 +134,7 @@
     assert!(catalog.is_evacuated("d"));
     catalog.set_evacuated(3, "d", true);
     assert_eq!(catalog.revision(), 2);
+    assert_eq!(catalog.evacuation_index("d"), 3);
     catalog.set_evacuated(4, "d", false);
     assert!(!catalog.is_evacuated("d"));
 }
--- a/crates/pimento_state/src/command.rs
+++ b/crates/pimento_state/src/command.rs
@@ -57,6 +57,11 @@
     /// Whether the domain is evacuated; its targets then get no requests.
     #[prost(bool, tag = "2")]
     pub on: bool,
+    /// The log index of the last order for the domain, as it was when this one
+    /// arrived; 0 if there was none. The command has no effect if another order was
+    /// carried out since. `None` in logs of versions that didn't check this.
+    #[prost(uint64, optional, tag = "3")]
+    pub last_order: Option<u64>,
 }
 
 impl Command {
@@ -79,7 +84,7 @@
     #[prost(uint64, tag = "1")]
     pub index: u64,
     /// The effect; none for a command that changes nothing.
-    #[prost(oneof = "Effect", tags = "2, 3, 4")]
+    #[prost(oneof = "Effect", tags = "2, 3, 4, 5")]
     pub effect: Option<Effect>,
 }
 
@@ -95,6 +100,17 @@
     /// The outcome of a changeset of items.
     #[prost(message, tag = "4")]
     Items(ItemsOutcome),
+    /// The outcome of an order to evacuate a failure domain.
+    #[prost(message, tag = "5")]
+    Evacuation(EvacuationOutcome),
+}
+
+/// The outcome of an order to evacuate a failure domain.
+#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
+pub struct EvacuationOutcome {
+    /// Whether another order was carried out first, so that this one had no effect.
+    #[prost(bool, tag = "1")]
+    pub overtaken: bool,
 }
 
 /// The outcome of a changeset of items, which takes effect as a whole or not
--- a/crates/pimento_state/src/lib.rs
+++ b/crates/pimento_state/src/lib.rs
@@ -7,8 +7,8 @@
 mod command;
 mod state;
 
-pub use command::{Command, Effect, Evacuate, ItemsOutcome, ItemsRefusal, NoteRefusal};
-pub use command::{NoteOutcome, NoteRecord, NoteResult, Op, Outcome};
+pub use command::{Command, Effect, Evacuate, EvacuationOutcome, ItemsOutcome, ItemsRefusal};
+pub use command::{NoteOutcome, NoteRecord, NoteRefusal, NoteResult, Op, Outcome};
 pub use pimento_items as items;
 pub use pimento_ledger as ledger;
 pub use state::{RestoreError, State};
--- a/crates/pimento_state/src/state.rs
+++ b/crates/pimento_state/src/state.rs
@@ -1,6 +1,6 @@
 //! The state machine that the control group replicates.
 
-use crate::{Command, Effect, ItemsOutcome, Op, Outcome};
+use crate::{Command, Effect, Evacuate, EvacuationOutcome, ItemsOutcome, Op, Outcome};
 use pimento_items::{Catalog, Changeset};
 use pimento_ledger::{ClaimKey, ClaimView, Ledger};
 use pimento_rules::{AcceptedNote, Note, NoteLog, Rules, RulesPull, RulesPush};
@@ -50,12 +50,7 @@
                 return Some(Effect::Items(self.apply_changeset(index, changeset)));
             }
             Op::Evacuate(evacuate) => {
-                Arc::make_mut(&mut self.catalog).set_evacuated(
-                    index,
-                    &evacuate.domain,
-                    evacuate.on,
-                );
-                return Some(Effect::Items(ItemsOutcome::default()));
+                return Some(Effect::Evacuation(self.evacuate(index, evacuate)));
             }
             Op::Claim(claim) => self.ledger.claim(time, claim),
             Op::Finish(finish) => self.ledger.finish(time, finish),
@@ -66,6 +61,15 @@
         Some(Effect::Ledger(outcome))
     }
 
+    fn evacuate(&mut self, index: u64, order: &Evacuate) -> EvacuationOutcome {
+        let last_order = self.catalog.evacuation_index(&order.domain);
+        let overtaken = order.last_order.is_some_and(|seen| seen != last_order);
+        if !overtaken {
+            Arc::make_mut(&mut self.catalog).set_evacuated(index, &order.domain, order.on);
+        }
+        EvacuationOutcome { overtaken }
+    }
+
     fn apply_changeset(&mut self, index: u64, changeset: &Changeset) -> ItemsOutcome {
         let result = Arc::make_mut(&mut self.catalog).apply_changeset(index, changeset);
         let refusal = result.err().map(Into::into);
