Apply changes of the limits to open connections

Cause: the limits were read once, when a connection was accepted, and given to the HTTP library and to the idle timer for its life.

Change: a connection has room for heads of twice the limit, and the limit in force is checked for each request. The idle timer follows changes, and a connection without room for a larger limit closes once it has no active request.

--- a/crates/pimento_gateway/src/gateway.rs
+++ b/crates/pimento_gateway/src/gateway.rs
@@ -31,6 +31,9 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// The maximum request head until the limits item is known, in bytes.
 const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
+/// The room for request heads, in multiples of the limit, so that open connections
+/// can follow when the limit grows. [`Inbound::read`] refuses larger heads.
+const HEAD_ROOM: usize = 2;
 /// How often expired connections to targets and outdated notices are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -133,7 +136,8 @@
             idle_timeout: limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| {
                 Duration::from_millis(l.idle_ms.into())
             }),
-            head_bytes: limits.map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes as usize),
+            head_bytes: HEAD_ROOM
+                .saturating_mul(limits.map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes as usize)),
         }
     }
 
--- a/crates/pimento_gateway/src/inbound.rs
+++ b/crates/pimento_gateway/src/inbound.rs
@@ -7,6 +7,7 @@
     HeaderMap, Method, Request, StatusCode, Uri,
     body::{Body, Incoming},
     header::HOST,
+    http::request::Parts,
 };
 use pimento_core::hash;
 use pimento_items::Limits;
@@ -58,8 +59,8 @@
 }
 
 impl Inbound {
-    /// Parses the head, and buffers the body up to
-    /// [`MAX_BUFFERED_BODY_BYTES`]. A body that doesn't arrive within the
+    /// Parses the head, which the limits in force must allow, and buffers the body up
+    /// to [`MAX_BUFFERED_BODY_BYTES`]. A body that doesn't arrive within the
     /// caller's timeout and the one that `route_timeout` returns for the host and
     /// the path is refused: nothing was sent then.
     pub(crate) async fn read(
@@ -70,6 +71,12 @@
     ) -> Result<Self, GatewayResponse> {
         let arrived_at = Instant::now();
         let (parts, body) = request.into_parts();
+        if limits.is_some_and(|l| head_bytes(&parts) as u64 > l.head_bytes) {
+            return Err(GatewayResponse::Refused {
+                status: StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+                reason: "the head is larger than allowed",
+            });
+        }
         let mut headers = parts.headers;
         let bad_request = |reason| GatewayResponse::Refused {
             status: StatusCode::BAD_REQUEST,
@@ -117,6 +124,16 @@
     }
 }
 
+/// The size of a request head, in bytes, without optional spaces.
+fn head_bytes(parts: &Parts) -> usize {
+    const REQUEST_LINE_OVERHEAD: usize = "  HTTP/1.1\r\n\r\n".len();
+    const HEADER_OVERHEAD: usize = ":\r\n".len();
+    let target = parts.uri.path_and_query().map_or(0, |t| t.as_str().len());
+    let headers = parts.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_OVERHEAD);
+    parts.method.as_str().len() + target + REQUEST_LINE_OVERHEAD + headers.sum::<usize>()
+}
+
 /// Returns a host without its port.
 fn strip_port(host: &str) -> &str {
     match host.rsplit_once(':') {
--- a/crates/pimento_gateway/src/server.rs
+++ b/crates/pimento_gateway/src/server.rs
@@ -13,6 +13,7 @@
 use std::{
     cell::Cell,
     convert::Infallible,
+    future::pending,
     net::SocketAddr,
     pin::{Pin, pin},
     rc::Rc,
@@ -20,16 +21,19 @@
 };
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    time::{Instant, sleep_until},
+    sync::watch,
+    time::{Instant, sleep, sleep_until},
 };
 
 /// The length of the listen backlog, in connections.
 const MAX_PENDING_CONNECTIONS: u32 = 1_024;
+/// How often the limits are compared with those that the connections follow.
+const LIMITS_INTERVAL: Duration = Duration::from_secs(1);
 /// The delay after a failed accept, for example when too many files are open.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
 /// Limits on a connection.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ConnectionLimits {
     /// How long the connection may have no active request.
     pub idle_timeout: Duration,
@@ -40,6 +44,9 @@
 /// Accepts connections and passes their requests to a handler. Once a graceful
 /// shutdown closes idle connections, the listener closes as well.
 ///
+/// Open connections follow changes of the limits. One that was accepted with room for
+/// smaller heads only closes as soon as it has no active request.
+///
 /// # Errors
 ///
 /// Returns the operating system's error if the address can't be bound.
@@ -55,6 +62,8 @@
 {
     let listener = listen(address)?;
     let (shutdown, handler) = (shutdown.clone(), Rc::new(handler));
+    let (sender, receiver) = watch::channel(limits());
+    actix_rt::spawn(follow_limits(limits, sender));
     let task = actix_rt::spawn(async move {
         let mut closing = pin!(shutdown.wait_for_idle_close());
         loop {
@@ -67,7 +76,8 @@
                     // Counted here: its task may not have run when the shutdown ends.
                     let guard = shutdown.count_connection();
                     let handler = Rc::clone(&handler);
-                    let connection = serve_connection(tcp, shutdown.clone(), limits(), handler);
+                    let connection =
+                        serve_connection(tcp, shutdown.clone(), receiver.clone(), handler);
                     actix_rt::spawn(async move {
                         connection.await;
                         drop(guard);
@@ -80,6 +90,18 @@
     Ok(task)
 }
 
+/// Passes on changes of the limits until all connections are closed.
+async fn follow_limits(
+    limits: impl Fn() -> ConnectionLimits,
+    sender: watch::Sender<ConnectionLimits>,
+) {
+    while !sender.is_closed() {
+        sleep(LIMITS_INTERVAL).await;
+        let current = limits();
+        sender.send_if_modified(|known| std::mem::replace(known, current) != current);
+    }
+}
+
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
@@ -99,7 +121,7 @@
 async fn serve_connection<F, R>(
     tcp: TcpStream,
     shutdown: GracefulShutdown,
-    limits: ConnectionLimits,
+    limits: watch::Receiver<ConnectionLimits>,
     handler: Rc<F>,
 ) where
     F: Fn(Request<Incoming>) -> R + 'static,
@@ -133,9 +155,14 @@
         }
     });
     let mut builder = http1::Builder::new();
-    builder.max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
+    let head_bytes = limits.borrow().head_bytes;
+    builder.max_buf_size(head_bytes.max(MIN_BUFFER_BYTES));
     let mut served = builder.serve_connection(TokioIo::new(tcp), service);
-    let close = pin!(wait_for_close(&activity, limits.idle_timeout, &shutdown));
+    let close = pin!(async {
+        let must_close = pin!(wait_for_close(&activity, limits.clone(), &shutdown));
+        let outgrown = pin!(wait_until_outgrown(limits.clone(), head_bytes));
+        select(must_close, outgrown).await;
+    });
     let ended = match select(&mut served, close).await {
         Either::Left((ended, _)) => ended,
         Either::Right(_) => {
@@ -158,9 +185,14 @@
 
 /// Waits until a connection exceeds its idle timeout, or must close because the
 /// process shuts down.
-async fn wait_for_close(activity: &Activity, idle_timeout: Duration, shutdown: &GracefulShutdown) {
+async fn wait_for_close(
+    activity: &Activity,
+    mut limits: watch::Receiver<ConnectionLimits>,
+    shutdown: &GracefulShutdown,
+) {
     let idle_timer = async {
         loop {
+            let idle_timeout = limits.borrow_and_update().idle_timeout;
             let idle_since = if activity.has_request.get() {
                 Instant::now()
             } else {
@@ -169,8 +201,24 @@
             if idle_since.elapsed() >= idle_timeout {
                 return;
             }
-            sleep_until(idle_since + idle_timeout).await;
+            let timer = pin!(sleep_until(idle_since + idle_timeout));
+            select(timer, pin!(wait_for_change(&mut limits))).await;
         }
     };
     select(pin!(idle_timer), pin!(shutdown.wait_for_idle_close())).await;
 }
+
+/// Waits for the next change of the limits.
+async fn wait_for_change(limits: &mut watch::Receiver<ConnectionLimits>) {
+    if limits.changed().await.is_err() {
+        // Nobody changes them any more.
+        pending::<()>().await;
+    }
+}
+
+/// Waits until larger heads are allowed than a connection has room for.
+async fn wait_until_outgrown(mut limits: watch::Receiver<ConnectionLimits>, head_bytes: usize) {
+    while limits.borrow_and_update().head_bytes <= head_bytes {
+        wait_for_change(&mut limits).await;
+    }
+}
