Send items in parts of one datagram, which are merged at once

Cause: what an entry VM lacks went as one message, which is lost if one of its datagrams is. In a storm of changes that takes several datagrams, and a full link that loses some of them loses every such message; the next one holds still more.

Change: each part is a message of one datagram and merged at once; the revision advances when all parts of an equal set have come, over repetitions and from any control VM.

--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -6,6 +6,7 @@
     broadcast::UpdateBroadcast,
     effect::OutgoingMessage,
     fragments::Reassembly,
+    item_parts::PartialSets,
     members::Members,
     message::{Body, ReleasedPermit},
     pending_requests::PendingRequests,
@@ -46,6 +47,10 @@
     pub(crate) members: Members,
     pub(crate) registry: Registry,
     pub(crate) catalog: Arc<Catalog>,
+    /// The sets of items of which some parts have arrived.
+    pub(crate) partial_items: PartialSets,
+    /// Whether items were merged since the routing table was built.
+    pub(crate) items_merged: bool,
     /// The routing table built from the catalog.
     pub(crate) routes: Arc<RouteTable>,
     /// The control VM that sent the newest items to this entry VM.
@@ -93,6 +98,8 @@
             members: Members::default(),
             registry: Registry::default(),
             catalog: Arc::default(),
+            partial_items: PartialSets::default(),
+            items_merged: false,
             routes: Arc::default(),
             items_sender: None,
             shards: ShardMap::default(),
@@ -134,6 +141,9 @@
             effects.extend(self.heartbeats(now));
             effects.extend(self.update_readiness());
         }
+        if self.items_merged {
+            effects.extend(self.apply_items(now));
+        }
         self.suspects.expire(now);
         self.drop_dead_recipients(now);
         effects.extend(self.confirm_updates(now));
--- a/crates/pimento_fleet/src/message.rs
+++ b/crates/pimento_fleet/src/message.rs
@@ -181,6 +181,15 @@
     pub to: u64,
     #[prost(message, repeated, tag = "3")]
     pub changes: Vec<AcceptedItem>,
+    /// Which part of the changes this message contains, from 0.
+    #[prost(uint32, tag = "4")]
+    pub part: u32,
+    /// The number of parts.
+    #[prost(uint32, tag = "5")]
+    pub parts: u32,
+    /// The digest of all changes; only parts with the same one belong together.
+    #[prost(fixed64, tag = "6")]
+    pub digest: u64,
 }
 
 /// Targets of the buckets in which sender and receiver differ.
--- a/crates/pimento_fleet/src/propagation.rs
+++ b/crates/pimento_fleet/src/propagation.rs
@@ -4,8 +4,9 @@
     Effect, Fleet, Node, Role,
     broadcast::Recipients,
     fleet::send,
+    item_parts,
     members::SentItems,
-    message::{Body, Items, Targets},
+    message::{Body, Targets},
 };
 use pimento_core::Time;
 use pimento_items::Catalog;
@@ -46,8 +47,9 @@
             .followers(now)
             .map(|n| (n.address, n.revision))
             .collect();
-        let outdated = followers.into_iter();
-        effects.extend(outdated.filter_map(|(to, revision)| self.missing_items(now, to, revision)));
+        for (to, revision) in followers {
+            effects.extend(self.missing_items(now, to, revision));
+        }
         effects.push(Effect::ViewChanged);
         effects
     }
@@ -210,12 +212,14 @@
         now: Time,
         to: SocketAddr,
         revision: u64,
-    ) -> Option<Effect> {
+    ) -> Vec<Effect> {
         let newest = self.catalog.revision();
         if revision >= newest {
-            return None;
+            return Vec::new();
         }
-        let node = self.members.get_mut(&to)?;
+        let Some(node) = self.members.get_mut(&to) else {
+            return Vec::new();
+        };
         let sent = SentItems {
             from: revision,
             to: newest,
@@ -226,7 +230,7 @@
             .last_sent
             .is_some_and(|s| is_repeat(&s) && now.since(s.at) < ITEMS_RESEND_INTERVAL)
         {
-            return None;
+            return Vec::new();
         }
         node.last_sent = Some(sent);
         let mut changes: Vec<_> = self.catalog.changes_since(revision).cloned().collect();
@@ -234,12 +238,9 @@
             // Only control VMs return the source text that operators sent.
             stored.item.source.clear();
         }
-        let message = Items {
-            from: revision,
-            to: newest,
-            changes,
-        };
-        Some(send(to, Body::Items(message)))
+        let parts = item_parts::split(revision, newest, changes);
+        let messages = parts.into_iter().map(|part| send(to, Body::Items(part)));
+        messages.collect()
     }
 
     /// Whether an entry VM has lacked items for so long that this control VM, which
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -142,13 +142,14 @@
         if self.is_lagging(now, from) {
             // The control VM that the sender follows lags behind as well.
             let revision = heartbeat.revision;
-            if let Some(items) = self.missing_items(now, from, revision) {
+            let items = self.missing_items(now, from, revision);
+            if !items.is_empty() {
                 effects.push(Effect::Lagging {
                     vm: from,
                     revision,
                     newest: self.catalog.revision(),
                 });
-                effects.push(items);
+                effects.extend(items);
             }
         }
         effects
@@ -247,11 +248,22 @@
             return Vec::new();
         }
         self.items_sender = Some(from);
+        let is_complete = self.partial_items.record(&items);
         let catalog = Arc::make_mut(&mut self.catalog);
-        catalog.merge(items.changes);
+        self.items_merged |= catalog.merge(items.changes);
+        if !is_complete {
+            // The next tick applies what has come by then.
+            return Vec::new();
+        }
         if items.from <= catalog.revision() {
             catalog.advance_revision(items.to);
         }
+        self.apply_items(now)
+    }
+
+    /// Routes by the merged items from now on.
+    pub(crate) fn apply_items(&mut self, now: Time) -> Vec<Effect> {
+        self.items_merged = false;
         let mut effects = self.rebuild_routing(now);
         effects.extend(self.update_readiness());
         effects.push(Effect::ViewChanged);
--- a/crates/pimento_fleet/tests/lagging.rs
+++ b/crates/pimento_fleet/tests/lagging.rs
@@ -5,7 +5,8 @@
 
 use pimento_core::Time;
 use pimento_fleet::Role;
-use std::{collections::VecDeque, time::Duration};
+use pimento_items::{Body, Catalog, Changeset, Item, ItemKind, Service};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 use world::{World, world_with_domains};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -96,3 +97,63 @@
         );
     }
 }
+
+/// The share of datagrams that a crowded link loses.
+const CROWDED_LOSS: f64 = 0.15;
+/// The number of items of a large change.
+const CHANGED_ITEMS: usize = 200;
+
+/// A catalog in which many items have this version.
+fn large_catalog(version: u64) -> Arc<Catalog> {
+    let body = Service {
+        health: "/health".into(),
+        max_connections: 100,
+        cold_ms: 3_000,
+        cold_rate: 4_900,
+    };
+    let items = (0..CHANGED_ITEMS)
+        .map(|i| Item::new(format!("service-{i}"), version, Body::Service(body.clone())));
+    let items = items.collect();
+    let mut catalog = Catalog::default();
+    catalog
+        .apply_changeset(version, &Changeset { items })
+        .unwrap();
+    Arc::new(catalog)
+}
+
+/// The number of items that some entry VM lacks in this version.
+fn missing_items(world: &World, version: u64) -> usize {
+    let current = |i: &usize| {
+        let catalog = world.processes[*i].fleet.view().catalog;
+        let items = catalog.live_items(ItemKind::Service);
+        items.filter(|item| item.version >= version).count()
+    };
+    let entries = world.with_role(Role::Entry);
+    let fewest = entries.iter().map(current).min().unwrap_or(0);
+    CHANGED_ITEMS - fewest
+}
+
+// A change of many datagrams was lost as a whole each time that one of them was, so that
+// entry VMs with crowded links lacked it for seconds.
+#[test]
+fn large_change_passes_crowded_links() {
+    for seed in 0..20 {
+        let mut world = world_with_domains(6, 60, 6, seed);
+        world.set_items(1);
+        world.run(3 * SECOND);
+        world.loss = CROWDED_LOSS;
+        for version in 2..6 {
+            for i in world.with_role(Role::Control) {
+                world.set_catalog_at(i, large_catalog(version));
+            }
+            world.run(APPLY_LIMIT);
+            assert_eq!(missing_items(&world, version), 0, "seed {seed}");
+        }
+        world.loss = 0.0;
+        world.run(SECOND);
+        for i in world.with_role(Role::Entry) {
+            let revision = world.processes[i].fleet.view().catalog.revision();
+            assert_eq!(revision, 5, "seed {seed}");
+        }
+    }
+}
