Retry budgets follow the number of entry VMs, and start with a single retry

Cause: the number of entry VMs by which the slack is divided was read at the first request for a service and kept for the life of the process. After a start of all processes each entry VM is ready before it knows another one.

Change: the part follows the number as it grows, never as it shrinks, since two sides of a cut would share out the slack twice. A budget begins with a single retry, and the slack adds nothing for two seconds after the start of the process.

--- a/crates/pimento_broker/src/budget.rs
+++ b/crates/pimento_broker/src/budget.rs
@@ -8,15 +8,26 @@
 /// time.
 const USABLE_SHARE: f64 = 0.7;
 
+/// How long a process that has started uses no slack: until it knows the other VMs,
+/// it can't tell which part of the slack is its own.
+const SLACK_DELAY: Duration = Duration::from_secs(2);
+
 /// A token bucket that holds one VM's share of the retries that all VMs may
 /// send for a service.
 ///
 /// Tokens come from two sources: a fraction for each of the VM's own requests,
 /// and the VM's part of the system-wide slack, which is divided by the number
 /// of VMs. The shares therefore add up to at most the system-wide limit, even
-/// if VMs can't reach each other.
+/// if VMs can't reach each other: the greatest number that was known counts.
+///
+/// Times are those since the start of the process.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
+    /// The retries within a window that all VMs share.
+    slack: f64,
+    window: Duration,
+    /// The greatest number of VMs that was known.
+    vms: usize,
     tokens: f64,
     capacity: f64,
     last_refill: Time,
@@ -25,16 +36,34 @@
 }
 
 impl RetryBudget {
-    /// Creates a full budget. `slack` is the number of retries within a window
-    /// that all `vms` share in addition to the tokens for requests.
+    /// Creates a budget for a single retry, which fills up. `slack` is the number
+    /// of retries within a window that all `vms` share in addition to the tokens for
+    /// requests.
+    ///
+    /// It isn't full, since an earlier process of this VM may have spent its part.
     pub fn new(now: Time, slack: f64, window: Duration, vms: usize) -> Self {
-        let capacity = (USABLE_SHARE * slack / vms.max(1) as f64 / 2.0).max(1.0);
-        Self {
-            tokens: capacity,
-            capacity,
-            last_refill: now,
-            refill_rate: capacity / window.as_secs_f64(),
+        let mut budget = Self {
+            slack,
+            window,
+            vms: 0,
+            tokens: 1.0,
+            capacity: 0.0,
+            last_refill: now.max(Time::ZERO + SLACK_DELAY),
+            refill_rate: 0.0,
+        };
+        budget.follow_vms(vms.max(1));
+        budget
+    }
+
+    /// Adapts this VM's part of the slack to a number of VMs that is now known.
+    pub fn follow_vms(&mut self, vms: usize) {
+        if vms <= self.vms {
+            return;
         }
+        self.vms = vms;
+        self.capacity = (USABLE_SHARE * self.slack / vms as f64 / 2.0).max(1.0);
+        self.refill_rate = self.capacity / self.window.as_secs_f64();
+        self.tokens = self.tokens.min(self.capacity * 2.0);
     }
 
     /// Adds the tokens for one request: `ratio` retries, less the safety margin.
@@ -56,7 +85,7 @@
 
     fn refill(&mut self, now: Time) {
         let elapsed = now.since(self.last_refill).as_secs_f64();
-        self.last_refill = now;
+        self.last_refill = self.last_refill.max(now);
         if self.tokens < self.capacity {
             self.tokens = (self.tokens + elapsed * self.refill_rate).min(self.capacity);
         }
--- a/crates/pimento_gateway/src/retry_budgets.rs
+++ b/crates/pimento_gateway/src/retry_budgets.rs
@@ -59,6 +59,8 @@
             budgets.insert(index, (Arc::clone(service), budget));
             index
         });
-        update(&mut budgets[index].1)
+        let budget = &mut budgets[index].1;
+        budget.follow_vms(entry_count);
+        update(budget)
     }
 }
