--- a/crates/pimento_control/src/actor.rs
+++ b/crates/pimento_control/src/actor.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     CatalogChanged, ControlClient, RulesChanged, backup,
+    disk_writes::Health,
     log_writer::LogWriter,
     record::{self, Identity},
     waiters::{ApplyWaiter, PendingProposal, PendingRead},
@@ -15,7 +16,7 @@
 use pimento_rules::Rules;
 use pimento_settings::ControlPeer;
 use pimento_state::{State, items::Catalog};
-use pimento_storage::{DataFolder, Disk, Store, StoreError};
+use pimento_storage::{DataFolder, Disk, Store};
 use prost::Message as _;
 use std::{
     net::SocketAddr,
@@ -39,10 +40,6 @@
 /// The interval between a leader's heartbeats in dynamic mode.
 const DYNAMIC_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(120);
 
-/// How long after a failed write the whole log is written again. It is a fraction
-/// of the time in which a replica that was away has to catch up.
-const DISK_RETRY_INTERVAL: Duration = Duration::from_millis(250);
-
 /// The configuration of a control VM's replica.
 #[derive(Clone, Debug)]
 pub struct ControlConfig {
@@ -93,17 +90,6 @@
     }
 }
 
-/// Whether a replica takes part in the group. One that doesn't is as if frozen: it
-/// handles no messages, and acknowledges nothing.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Condition {
-    Working,
-    /// A write failed, and the whole log has to be written again.
-    DiskFailed,
-    /// The process stops, or the replica can't go on without another process.
-    Stopped,
-}
-
 /// The actor that runs one control VM's replica.
 #[derive(Debug)]
 pub struct Control {
@@ -122,13 +108,13 @@
     /// The size of the entries applied since the newest snapshot.
     pub(crate) applied_bytes: usize,
     /// `None` while a write is in progress, and after the writing thread panicked.
-    log_writer: Option<LogWriter>,
+    pub(crate) log_writer: Option<LogWriter>,
     /// Writes that wait for the one in progress.
-    pending_writes: Vec<Write>,
+    pub(crate) pending_writes: Vec<Write>,
     /// Whether a write is in progress.
-    is_writing: bool,
+    pub(crate) is_writing: bool,
     is_leader: bool,
-    pub(crate) condition: Condition,
+    pub(crate) health: Health,
     pub(crate) links: Links,
     pub(crate) client: ControlClient,
     pub(crate) log: Logger,
@@ -149,7 +135,7 @@
     pub(crate) rules_subscribers: Vec<Recipient<RulesChanged>>,
     pub(crate) catalog_subscribers: Vec<Recipient<CatalogChanged>>,
     /// Signals that the data folder is closed, once the write in progress ends.
-    stop_sender: Option<oneshot::Sender<()>>,
+    pub(crate) stop_sender: Option<oneshot::Sender<()>>,
     /// The effects of creating the Raft state machine.
     startup_effects: Vec<Effect>,
 }
@@ -232,7 +218,7 @@
             pending_writes: Vec::new(),
             is_writing: false,
             is_leader: false,
-            condition: Condition::Working,
+            health: Health::Working,
             links,
             client,
             log,
@@ -335,115 +321,6 @@
         self.addresses.sort_by(|a, b| a.0.cmp(&b.0));
         self.addresses.dedup_by(|a, b| a.0 == b.0);
     }
-
-    /// Starts writing the pending writes, unless a write is in progress.
-    fn flush_writes(&mut self, ctx: &mut Context<Self>) {
-        if self.pending_writes.is_empty() || !self.is_working() {
-            return;
-        }
-        let Some(mut log_writer) = self.log_writer.take() else {
-            return;
-        };
-        let writes = std::mem::take(&mut self.pending_writes);
-        self.spawn_write(ctx, move || {
-            let result = log_writer.write(writes);
-            (log_writer, result)
-        });
-    }
-
-    /// Runs a write on a blocking thread.
-    fn spawn_write(
-        &mut self,
-        ctx: &mut Context<Self>,
-        write: impl FnOnce() -> (LogWriter, Result<u64, StoreError>) + Send + 'static,
-    ) {
-        self.is_writing = true;
-        let task = actix_rt::task::spawn_blocking(write);
-        let task = task.into_actor(self).map(|finished, control, ctx| {
-            control.is_writing = false;
-            if let Ok((log_writer, result)) = finished {
-                control.write_finished(log_writer, result, ctx);
-            } else {
-                control.stop_working("the log writer thread panicked");
-            }
-        });
-        ctx.spawn(task);
-    }
-
-    fn write_finished(
-        &mut self,
-        log_writer: LogWriter,
-        result: Result<u64, StoreError>,
-        ctx: &mut Context<Self>,
-    ) {
-        if let Some(stop_sender) = self.stop_sender.take() {
-            drop(log_writer);
-            // The receiver may have been dropped; the folder is closed anyway.
-            stop_sender.send(()).unwrap_or_default();
-            return;
-        }
-        self.log_writer = Some(log_writer);
-        match (self.condition, result) {
-            (Condition::Stopped, _) => {}
-            (condition, Ok(seq)) => {
-                if condition == Condition::DiskFailed {
-                    event!(self.log, Event::StoreRecovered);
-                }
-                self.condition = Condition::Working;
-                let effects = self.raft.record_synced(self.now(), seq);
-                self.run_effects(effects, ctx);
-            }
-            (condition, Err(e)) => {
-                if condition == Condition::Working {
-                    event!(self.log, Event::StoreFailed, "reason" => %e);
-                }
-                self.condition = Condition::DiskFailed;
-                self.fail_waiters();
-                ctx.run_later(DISK_RETRY_INTERVAL, Self::rebuild_log);
-            }
-        }
-    }
-
-    /// Writes the whole log again after a failed write. The write supersedes those
-    /// that wait.
-    fn rebuild_log(&mut self, ctx: &mut Context<Self>) {
-        if self.condition == Condition::Stopped {
-            return;
-        }
-        let Some(mut log_writer) = self.log_writer.take() else {
-            return;
-        };
-        self.pending_writes.clear();
-        let write = self.raft.rewrite();
-        self.spawn_write(ctx, move || {
-            let result = log_writer.rebuild(write);
-            (log_writer, result)
-        });
-    }
-
-    /// Stops the replica. The returned receiver completes once the data folder is
-    /// closed.
-    pub(crate) fn shut_down(&mut self) -> oneshot::Receiver<()> {
-        let (stop_sender, stopped) = oneshot::channel();
-        self.log_writer = None;
-        self.condition = Condition::Stopped;
-        self.fail_waiters();
-        if self.is_writing {
-            self.stop_sender = Some(stop_sender);
-        }
-        stopped
-    }
-
-    /// Ends the replica's part in the group until the process restarts.
-    pub(crate) fn stop_working(&mut self, reason: &str) {
-        event!(self.log, Event::StoreFailed, "reason" => reason);
-        self.condition = Condition::Stopped;
-        self.fail_waiters();
-    }
-
-    pub(crate) fn is_working(&self) -> bool {
-        self.condition == Condition::Working
-    }
 }
 
 impl Actor for Control {
--- a/crates/pimento_control/src/lib.rs
+++ b/crates/pimento_control/src/lib.rs
@@ -8,6 +8,7 @@
 mod apply;
 mod backup;
 mod client;
+mod disk_writes;
 mod error;
 mod evacuation;
 mod fence;
--- a/crates/pimento_gateway/tests/endless_memory.rs
+++ b/crates/pimento_gateway/tests/endless_memory.rs
@@ -8,8 +8,9 @@
 use support::{
     TestBed,
     raw_target::{RawTarget, Then},
+    request,
 };
-use tokio::time::sleep;
+use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
 
 const TARGETS: usize = 10;
 const CALLERS: usize = 60;
@@ -25,6 +26,14 @@
     line.split_whitespace().nth(1).unwrap().parse().unwrap()
 }
 
+/// Sends a request, and leaves its answer unread.
+async fn call_without_reading(test_bed: &TestBed) -> TcpStream {
+    let mut caller = TcpStream::connect(test_bed.address).await.unwrap();
+    let text = request("/once/x", "", "body");
+    caller.write_all(text.as_bytes()).await.unwrap();
+    caller
+}
+
 // An entry VM that kept all that targets sent would run out of memory, and all requests on it
 // would end.
 #[actix_rt::test]
@@ -52,7 +61,7 @@
         // Callers that read nothing until the deadline.
         let mut callers = Vec::new();
         for _ in 0..CALLERS {
-            callers.push(test_bed.send_only("/once/x").await);
+            callers.push(call_without_reading(&test_bed).await);
         }
         sleep(Duration::from_millis(1_500)).await;
         let sent: usize = targets.iter().map(RawTarget::repeated_bytes).sum();
--- a/crates/pimento_gateway/tests/support/mod.rs
+++ b/crates/pimento_gateway/tests/support/mod.rs
@@ -286,14 +286,6 @@
         self.exchange(&request).await
     }
 
-    /// Sends a request, and leaves its answer unread.
-    pub async fn send_only(&self, path: &str) -> TcpStream {
-        let mut caller = TcpStream::connect(self.address).await.unwrap();
-        let text = request(path, "", "body");
-        caller.write_all(text.as_bytes()).await.unwrap();
-        caller
-    }
-
     /// Sends the text of a request and reads until the connection closes.
     async fn exchange(&self, request: &str) -> Reply {
         let mut caller = TcpStream::connect(self.address).await.unwrap();
