Item parts: the search of a set in a function of its own, constants together

No behaviour changes, but for a message that names more parts than allowed, which is dropped at once in place of being kept as a set that can't be complete. The tests of the fleet pass.

--- a/crates/pimento_fleet/src/item_parts.rs
+++ b/crates/pimento_fleet/src/item_parts.rs
@@ -18,6 +18,8 @@
 const ITEM_OVERHEAD_BYTES: usize = 4;
 /// The most incomplete sets that are kept; the oldest is dropped first.
 const MAX_PARTIAL_SETS: usize = 16;
+/// The most parts of a set, which bounds what a malformed message can allocate.
+const MAX_PARTS: usize = 1 << 16;
 
 /// Splits the changes between two revisions into messages.
 pub(crate) fn split(from: u64, to: u64, changes: Vec<AcceptedItem>) -> Vec<Items> {
@@ -77,34 +79,40 @@
         if items.parts <= 1 {
             return true;
         }
-        let (part, parts) = (items.part as usize, items.parts as usize);
-        let is_same = |set: &PartialSet| {
-            (set.from, set.to, set.digest) == (items.from, items.to, items.digest)
-                && set.arrived.len() == parts
-        };
-        let index = self.0.iter().position(is_same).unwrap_or_else(|| {
-            self.0.push_back(PartialSet {
-                from: items.from,
-                to: items.to,
-                digest: items.digest,
-                arrived: vec![false; parts.min(MAX_PARTS)],
-            });
-            if self.0.len() > MAX_PARTIAL_SETS {
-                self.0.pop_front();
-            }
-            self.0.len() - 1
-        });
+        if items.parts as usize > MAX_PARTS {
+            return false;
+        }
+        let index = self.find_or_insert(items);
         let arrived = &mut self.0[index].arrived;
-        if let Some(arrived) = arrived.get_mut(part) {
+        if let Some(arrived) = arrived.get_mut(items.part as usize) {
             *arrived = true;
         }
-        let is_complete = arrived.iter().all(|arrived| *arrived) && arrived.len() == parts;
+        let is_complete = arrived.iter().all(|arrived| *arrived);
         if is_complete {
             self.0.remove(index);
         }
         is_complete
     }
-}
 
-/// The most parts of a set, which bounds what a malformed message can allocate.
-const MAX_PARTS: usize = 1 << 16;
+    /// Returns the index of the set that a part belongs to.
+    fn find_or_insert(&mut self, items: &Items) -> usize {
+        let parts = items.parts as usize;
+        let is_same = |set: &PartialSet| {
+            let is_equal = (set.from, set.to, set.digest) == (items.from, items.to, items.digest);
+            is_equal && set.arrived.len() == parts
+        };
+        if let Some(index) = self.0.iter().position(is_same) {
+            return index;
+        }
+        if self.0.len() >= MAX_PARTIAL_SETS {
+            self.0.pop_front();
+        }
+        self.0.push_back(PartialSet {
+            from: items.from,
+            to: items.to,
+            digest: items.digest,
+            arrived: vec![false; parts],
+        });
+        self.0.len() - 1
+    }
+}
