--- a/scripts/full_disks.sh
+++ b/scripts/full_disks.sh
@@ -5,6 +5,7 @@
 # afterwards. Needs curl, jq and prlimit.
 #   BIN   the platform's program (target/release/pimento-platform)
 #   KEEP  if not empty, keeps the folder with settings, data and logs
+#   DOMAINS  the names of six failure domains, each a region of its own
 #   TROUBLE=0 leaves out the full disks
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -20,22 +21,21 @@
 trap cleanup EXIT
 fail() { echo "full_disks: FAILED: $*" >&2; grep -h '"event":70' "$work"/*.log >&2; exit 1; }
 
-domains=(sapporo-a asahikawa-a kushiro-a sapporo-b asahikawa-b kushiro-b)
+read -ra domains <<<"${DOMAINS:-sapporo-a asahikawa-a kushiro-a sapporo-b asahikawa-b kushiro-b}"
 settings() { # NUMBER
     local seeds="\"$net.10:8649\",\"$net.11:8649\",\"$net.12:8649\""
     jq -n --arg ip "$net.1$1" --arg name "core-$1" --arg domain "${domains[$1]}" \
         --arg data "$work/data-$1" --argjson seeds "[$seeds]" '{
         self: {nodeName: $name, role: "control", machineClass: "core", serves: ["control", "directory"],
-            ip: $ip, zone: $domain, region: ($domain | .[:-2]), faultCounted: true, bootstrap: true,
+            ip: $ip, zone: $domain, region: $domain, faultCounted: true, bootstrap: true,
             dataDir: $data, limits: {cpuShare: 0.3, cpuCores: 1, memoryMb: 256, maxFds: 4096,
             linkMbps: 1000, diskMb: 256}},
         network: {listen: {control: ($ip + ":8649"), directory: ($ip + ":8648")},
-            innerPorts: [7620, 7635], seedAddrs: $seeds, zones: {"sapporo-a": "sapporo",
-            "asahikawa-a": "asahikawa", "kushiro-a": "kushiro", "sapporo-b": "sapporo",
-            "asahikawa-b": "asahikawa", "kushiro-b": "kushiro"}},
+            innerPorts: [7620, 7635], seedAddrs: $seeds,
+            zones: ($ARGS.positional | map({key: ., value: .}) | from_entries)},
         platform: {discovery: "registry", entry: "directory", heartbeat: "1500ms", configMode: "parts"},
         terms: {activeContracts: ["base", "config"],
-            faultTolerance: {machines: 2, zones: 1, regions: 1}, bounds: {grace: "6s"}}}'
+            faultTolerance: {machines: 2, zones: 1, regions: 1}, bounds: {grace: "6s"}}}' --args "${domains[@]}"
 }
 
 version=0
