Simplify what this change added: one watch of the limits, one liveness check

Found by reading the whole change again. The write of the log takes its writer and what to do with it, in place of two closures that repeat each other. A connection follows the limits in one loop with one receiver, in place of a second waiter beside it.

No behaviour changes.

--- a/crates/pimento_control/src/disk_writes.rs
+++ b/crates/pimento_control/src/disk_writes.rs
@@ -28,24 +28,25 @@
         if self.pending_writes.is_empty() || !self.is_working() {
             return;
         }
-        let Some(mut log_writer) = self.log_writer.take() else {
+        let Some(log_writer) = self.log_writer.take() else {
             return;
         };
         let writes = std::mem::take(&mut self.pending_writes);
-        self.spawn_write(ctx, move || {
-            let result = log_writer.write(writes);
-            (log_writer, result)
-        });
+        self.spawn_write(ctx, log_writer, |log_writer| log_writer.write(writes));
     }
 
     /// Runs a write on a blocking thread.
     fn spawn_write(
         &mut self,
         ctx: &mut Context<Self>,
-        write: impl FnOnce() -> (LogWriter, Result<u64, StoreError>) + Send + 'static,
+        mut log_writer: LogWriter,
+        write: impl FnOnce(&mut LogWriter) -> Result<u64, StoreError> + Send + 'static,
     ) {
         self.is_writing = true;
-        let task = actix_rt::task::spawn_blocking(write);
+        let task = actix_rt::task::spawn_blocking(move || {
+            let result = write(&mut log_writer);
+            (log_writer, result)
+        });
         let task = task.into_actor(self).map(|finished, control, ctx| {
             control.is_writing = false;
             if let Ok((log_writer, result)) = finished {
@@ -97,15 +98,12 @@
         if self.health == Health::Stopped {
             return;
         }
-        let Some(mut log_writer) = self.log_writer.take() else {
+        let Some(log_writer) = self.log_writer.take() else {
             return;
         };
         self.pending_writes.clear();
         let write = self.raft.rewrite();
-        self.spawn_write(ctx, move || {
-            let result = log_writer.rebuild(write);
-            (log_writer, result)
-        });
+        self.spawn_write(ctx, log_writer, |log_writer| log_writer.rebuild(write));
     }
 
     /// Stops the replica. The returned receiver completes once the data folder is
--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -165,8 +165,8 @@
 
     /// Whether a process was heard within the failure timeout.
     pub(crate) fn is_live(&self, now: Time, address: &SocketAddr) -> bool {
-        let node = self.members.get(address);
-        node.is_some_and(|n| now.since(n.last_heard) < self.config.failure_timeout)
+        let timeout = self.config.failure_timeout;
+        self.members.is_heard_within(now, address, timeout)
     }
 
     /// The processes that were heard within the failure timeout.
--- a/crates/pimento_fleet/src/members.rs
+++ b/crates/pimento_fleet/src/members.rs
@@ -202,6 +202,12 @@
         self.0.iter().filter(move |n| n.has_role(role))
     }
 
+    /// Whether a process was heard within a time span.
+    pub(crate) fn is_heard_within(&self, now: Time, address: &SocketAddr, span: Duration) -> bool {
+        let node = self.get(address);
+        node.is_some_and(|n| now.since(n.last_heard) < span)
+    }
+
     /// The processes that were heard within a time span.
     pub(crate) fn heard_within(&self, now: Time, span: Duration) -> impl Iterator<Item = &Node> {
         self.0
--- a/crates/pimento_fleet/src/propagation.rs
+++ b/crates/pimento_fleet/src/propagation.rs
@@ -166,10 +166,8 @@
     pub(crate) fn drop_dead_recipients(&mut self, now: Time) {
         let timeout = self.config.failure_timeout;
         let members = &self.members;
-        self.broadcast.drop_recipients(|address| {
-            let node = members.get(address);
-            node.is_none_or(|n| now.since(n.last_heard) >= timeout)
-        });
+        self.broadcast
+            .drop_recipients(|address| !members.is_heard_within(now, address, timeout));
     }
 
     /// Reports the updates that became confirmed. The other control VMs are
--- a/crates/pimento_gateway/src/server.rs
+++ b/crates/pimento_gateway/src/server.rs
@@ -158,11 +158,7 @@
     let head_bytes = limits.borrow().head_bytes;
     builder.max_buf_size(head_bytes.max(MIN_BUFFER_BYTES));
     let mut served = builder.serve_connection(TokioIo::new(tcp), service);
-    let close = pin!(async {
-        let must_close = pin!(wait_for_close(&activity, limits.clone(), &shutdown));
-        let outgrown = pin!(wait_until_outgrown(limits.clone(), head_bytes));
-        select(must_close, outgrown).await;
-    });
+    let close = pin!(wait_for_close(&activity, limits, head_bytes, &shutdown));
     let ended = match select(&mut served, close).await {
         Either::Left((ended, _)) => ended,
         Either::Right(_) => {
@@ -183,29 +179,33 @@
 /// The minimum buffer size that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
-/// Waits until a connection exceeds its idle timeout, or must close because the
-/// process shuts down.
+/// Waits until a connection exceeds its idle timeout, has less room for heads than
+/// the limits now allow, or must close because the process shuts down.
 async fn wait_for_close(
     activity: &Activity,
     mut limits: watch::Receiver<ConnectionLimits>,
+    head_bytes: usize,
     shutdown: &GracefulShutdown,
 ) {
-    let idle_timer = async {
+    let outdated = async {
         loop {
-            let idle_timeout = limits.borrow_and_update().idle_timeout;
+            let ConnectionLimits {
+                idle_timeout,
+                head_bytes: allowed_bytes,
+            } = *limits.borrow_and_update();
             let idle_since = if activity.has_request.get() {
                 Instant::now()
             } else {
                 activity.last_used.get()
             };
-            if idle_since.elapsed() >= idle_timeout {
+            if idle_since.elapsed() >= idle_timeout || allowed_bytes > head_bytes {
                 return;
             }
             let timer = pin!(sleep_until(idle_since + idle_timeout));
             select(timer, pin!(wait_for_change(&mut limits))).await;
         }
     };
-    select(pin!(idle_timer), pin!(shutdown.wait_for_idle_close())).await;
+    select(pin!(outdated), pin!(shutdown.wait_for_idle_close())).await;
 }
 
 /// Waits for the next change of the limits.
@@ -215,10 +215,3 @@
         pending::<()>().await;
     }
 }
-
-/// Waits until larger heads are allowed than a connection has room for.
-async fn wait_until_outgrown(mut limits: watch::Receiver<ConnectionLimits>, head_bytes: usize) {
-    while limits.borrow_and_update().head_bytes <= head_bytes {
-        wait_for_change(&mut limits).await;
-    }
-}
