--- a/crates/pimento_fleet/src/actor.rs
+++ b/crates/pimento_fleet/src/actor.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Effect, Fleet, FleetConfig, PermitDecision, RefusalReason, SharedView, Stage,
-    effect::OutgoingMessage, message::PermitRequestMessage,
+    effect::OutgoingMessage, message::PermitRequestMessage, unsent::UnsentDatagrams,
 };
 use actix::prelude::*;
 use bytes::Bytes;
@@ -49,6 +49,7 @@
     logged_ready: bool,
     /// The revision of items that was logged last.
     logged_revision: u64,
+    unsent: UnsentDatagrams,
 }
 
 impl FleetActor {
@@ -84,6 +85,7 @@
             waiting_reports: Vec::new(),
             logged_ready: false,
             logged_revision: 0,
+            unsent: UnsentDatagrams::default(),
         };
         Ok(Actor::start(actor))
     }
@@ -105,9 +107,11 @@
                     vm,
                     revision,
                     newest,
+                    lost_heartbeats,
                 } => {
                     event!(self.log, Event::VmLagging, "vm_address" => %vm,
-                        "revision" => revision, "newest" => newest);
+                        "revision" => revision, "newest" => newest,
+                        "lost_heartbeats" => lost_heartbeats);
                 }
                 Effect::ViewChanged => self.view_changed = true,
             }
@@ -122,12 +126,20 @@
         for datagram in message.into_datagrams(self.last_message) {
             // If the send buffer is full the rest of the message is dropped.
             // The protocol tolerates lost datagrams.
-            if self.socket.try_send_to(&datagram, to).is_err() {
+            if let Err(e) = self.socket.try_send_to(&datagram, to) {
+                self.unsent.record(&e);
                 return;
             }
         }
     }
 
+    /// Logs the datagrams that could not be sent, at most once a second.
+    fn log_unsent(&mut self) {
+        if let Some((count, cause)) = self.unsent.take_due(self.now()) {
+            event!(self.log, Event::DatagramsDropped, "count" => count, "cause" => %cause);
+        }
+    }
+
     fn deliver_decision(&mut self, serial: u64, decision: PermitDecision) {
         let Some(index) = self.waiting_requests.iter().position(|(s, _)| *s == serial) else {
             return;
@@ -173,6 +185,7 @@
         ctx.run_interval(TICK_INTERVAL, |actor, _| {
             let effects = actor.fleet.tick(actor.now());
             actor.apply_effects(effects);
+            actor.log_unsent();
         });
         let (socket, addr) = (Arc::clone(&self.socket), ctx.address());
         actix_rt::spawn(receive_datagrams(socket, addr));
--- a/crates/pimento_fleet/src/effect.rs
+++ b/crates/pimento_fleet/src/effect.rs
@@ -41,6 +41,8 @@
         revision: u64,
         /// The revision that this control VM has.
         newest: u64,
+        /// The heartbeats of the entry VM that were lost before the newest one.
+        lost_heartbeats: u64,
     },
     /// The view that requests are routed by has changed.
     ViewChanged,
--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -81,6 +81,8 @@
     /// Reports that were acknowledged by all processes that must have them.
     pub(crate) confirmed: VecDeque<ConfirmedReport>,
     next_heartbeat: Time,
+    /// The number of the newest heartbeat.
+    pub(crate) heartbeat_sequence: u64,
     /// When this control VM applied its newest revisions of items.
     pub(crate) applied: AppliedRevisions,
     /// Counts the round-robin choices of a control VM.
@@ -118,6 +120,7 @@
             settling: Settling::default(),
             confirmed: VecDeque::new(),
             next_heartbeat: Time::ZERO,
+            heartbeat_sequence: 0,
             applied: AppliedRevisions::default(),
             rotation: 0,
             load: 0,
--- a/crates/pimento_fleet/src/heartbeats.rs
+++ b/crates/pimento_fleet/src/heartbeats.rs
@@ -78,6 +78,7 @@
     /// The heartbeats to all control VMs: a full one to the followed control
     /// VM, short ones to most others.
     pub(crate) fn heartbeats(&mut self, now: Time) -> Vec<Effect> {
+        self.heartbeat_sequence += 1;
         let is_control = self.config.local.role == Role::Control as i32;
         let followed = self.followed_control(now).or_else(|| self.next_control());
         let messages = self.control_addresses().map(|to| {
@@ -91,6 +92,7 @@
                 stage: self.config.local.stage,
                 revision: self.catalog.revision(),
                 load: self.load,
+                sequence: self.heartbeat_sequence,
             };
             send(to, Body::ShortHeartbeat(heartbeat))
         });
@@ -123,6 +125,7 @@
                 Role::Entry => self.list_digest,
                 Role::Control => list_digest(&self.control_list()),
             },
+            sequence: self.heartbeat_sequence,
         };
         send(to, Body::Heartbeat(heartbeat))
     }
--- a/crates/pimento_fleet/src/lib.rs
+++ b/crates/pimento_fleet/src/lib.rs
@@ -29,6 +29,7 @@
 mod settling;
 mod shards;
 mod suspects;
+mod unsent;
 mod view;
 
 pub use actor::{
--- a/crates/pimento_fleet/src/members.rs
+++ b/crates/pimento_fleet/src/members.rs
@@ -39,6 +39,10 @@
     pub load: u32,
     /// The revision of items that it last reported.
     pub revision: u64,
+    /// The number of its newest heartbeat.
+    pub(crate) sequence: u64,
+    /// The heartbeats that were lost right before the newest one.
+    pub(crate) lost_heartbeats: u64,
     /// The items that were last sent to it.
     pub(crate) last_sent: Option<SentItems>,
     /// When it last sent this VM a full heartbeat, which asks for the state
@@ -83,6 +87,19 @@
         stalled
     }
 
+    /// Counts the heartbeats that were lost since the previous one.
+    pub(crate) fn record_sequence(&mut self, sequence: u64) {
+        let expected = self.sequence + 1;
+        // The first one heard from a process tells nothing of those before it.
+        let is_first = self.sequence == 0;
+        self.lost_heartbeats = if is_first {
+            0
+        } else {
+            sequence.saturating_sub(expected)
+        };
+        self.sequence = self.sequence.max(sequence);
+    }
+
     /// Whether it announced that it is ready to serve.
     pub fn is_ready(&self) -> bool {
         self.info.stage == Stage::Ready as i32
@@ -104,6 +121,8 @@
                 let changed = node.info != *info;
                 if node.info.incarnation != info.incarnation {
                     node.revision = 0;
+                    node.sequence = 0;
+                    node.lost_heartbeats = 0;
                     node.last_sent = None;
                     node.buckets.clear();
                     node.differing.clear();
@@ -121,6 +140,8 @@
                     last_listed: now,
                     load: 0,
                     revision: 0,
+                    sequence: 0,
+                    lost_heartbeats: 0,
                     last_sent: None,
                     last_sync: None,
                     buckets: Vec::new(),
--- a/crates/pimento_fleet/src/message.rs
+++ b/crates/pimento_fleet/src/message.rs
@@ -127,6 +127,9 @@
     /// The share of its link bandwidth that requests use, in percent.
     #[prost(uint32, tag = "4")]
     pub load: u32,
+    /// The number of this heartbeat, by which the receiver counts the lost ones.
+    #[prost(uint64, tag = "5")]
+    pub sequence: u64,
 }
 
 /// A full heartbeat: the sender is alive, and which state it has.
@@ -147,6 +150,9 @@
     /// The share of its link bandwidth that requests use, in percent.
     #[prost(uint32, tag = "5")]
     pub load: u32,
+    /// The number of this heartbeat, by which the receiver counts the lost ones.
+    #[prost(uint64, tag = "6")]
+    pub sequence: u64,
 }
 
 /// The reply to a full heartbeat.
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -80,6 +80,7 @@
         if let Some(node) = self.members.get_mut(&from) {
             node.revision = heartbeat.revision;
             node.load = heartbeat.load;
+            node.record_sequence(heartbeat.sequence);
             if is_full {
                 node.last_sync = Some(now);
                 stalled = node.stalled_buckets(now, &heartbeat.buckets, &differing);
@@ -129,9 +130,12 @@
             self.add_recipient(from);
         }
         let mut effects = Vec::new();
+        let mut lost_heartbeats = 0;
         if let Some(node) = self.members.get_mut(&from) {
             node.revision = heartbeat.revision;
             node.load = heartbeat.load;
+            node.record_sequence(heartbeat.sequence);
+            lost_heartbeats = node.lost_heartbeats;
             // Short heartbeats mean that it follows another control VM now.
             node.last_sync = None;
             if node.info.stage != heartbeat.stage {
@@ -148,6 +152,7 @@
                     vm: from,
                     revision,
                     newest: self.catalog.revision(),
+                    lost_heartbeats,
                 });
                 effects.extend(items);
             }
--- a/crates/pimento_log/src/event.rs
+++ b/crates/pimento_log/src/event.rs
@@ -69,6 +69,8 @@
     VmSuspected = 304, Warning, "VM did not answer";
     /// An entry VM lacks items that the control VM it follows should have sent.
     VmLagging = 305, Warning, "VM lags behind";
+    /// The socket did not take datagrams to other processes.
+    DatagramsDropped = 306, Warning, "datagrams not sent";
     /// This VM has acquired the lease of a target.
     LeaseTaken = 401, Info, "target lease taken";
     /// This VM has lost or released the lease of a target.
