Failing tests: changes that nobody notices to be missing

Two ways in which an entry VM lacks an acknowledged change for longer than the bound of 2 s, both seen in plays of the untouched code:

Both tests fail here (2 of 8 in the file): missing 0.9 s after the election, and for the whole 9 s. Two more tests pass: losses of 5% beside a stuck control VM, and a revision that claims no missing items.

--- a/crates/pimento_fleet/tests/lagging.rs
+++ b/crates/pimento_fleet/tests/lagging.rs
@@ -157,3 +157,100 @@
         }
     }
 }
+
+/// The share of datagrams that a network with a slight disruption loses.
+const SLIGHT_LOSS: f64 = 0.05;
+
+// A control VM that was cut off from the others had followers that got each change only with
+// a heartbeat, so that a single lost datagram made it late.
+#[test]
+fn storm_passes_stuck_control_despite_losses() {
+    for seed in 0..20 {
+        let mut world = world_with_domains(6, 60, 6, seed);
+        world.set_items(1);
+        world.run(3 * SECOND);
+        world.loss = SLIGHT_LOSS;
+        let longest = longest_lag(&mut world, STORM_INTERVAL, None);
+        assert!(
+            longest < APPLY_LIMIT,
+            "seed {seed}: a change was missing for {longest:?}"
+        );
+    }
+}
+
+/// How long a control group needs to elect a leader, which only then learns what the
+/// previous one had committed.
+const ELECTION_TIME: Duration = Duration::from_millis(1_100);
+
+// The leader acknowledged a change and failed. The others learned only from the next leader
+// that it was committed, and waited as long as for a change that was new then.
+#[test]
+#[ignore = "known failure, see KNOWN-RED.txt"]
+fn change_outlives_acknowledging_control() {
+    for offset_ms in (0..500).step_by(50) {
+        let mut world = one_control_per_domain();
+        world.run(Duration::from_millis(offset_ms));
+        let acknowledged = world.now;
+        world.set_items_at(5, 2);
+        world.processes[5].alive = false;
+        world.run(ELECTION_TIME);
+        for i in 1..5 {
+            world.set_items_at(i, 2);
+        }
+        let applied = |world: &World| current_lag(world, &[(acknowledged, 2)]).is_zero();
+        assert!(
+            world.run_until(APPLY_LIMIT - ELECTION_TIME, applied),
+            "{offset_ms} ms after a heartbeat"
+        );
+    }
+}
+
+// Nothing that an entry VM sent arrived, since its link was full of answers to callers. The
+// control VM that it follows had restarted and did not know it; the others waited for a heartbeat.
+#[test]
+#[ignore = "known failure, see KNOWN-RED.txt"]
+fn storm_reaches_vm_with_full_uplink() {
+    let mut world = one_control_per_domain();
+    for i in world.with_role(Role::Entry) {
+        world.processes[i].mute = true;
+    }
+    world.restart(0);
+    let longest = longest_lag(&mut world, STORM_INTERVAL, Some(Duration::ZERO));
+    assert!(
+        longest < APPLY_LIMIT,
+        "a change was missing for {longest:?}"
+    );
+}
+
+// Parts of different sets must not complete each other: the revision would claim items that
+// never came.
+#[test]
+fn revision_claims_no_missing_items() {
+    for seed in 0..20 {
+        let mut world = world_with_domains(6, 12, 6, seed);
+        world.set_items(1);
+        world.run(3 * SECOND);
+        world.loss = 0.5;
+        for version in 2..12 {
+            for i in world.with_role(Role::Control) {
+                world.set_catalog_at(i, large_catalog(version));
+                world.run(Duration::from_millis(50));
+                assert_items_of_revision(&world, seed);
+            }
+        }
+    }
+}
+
+/// Each version of [`large_catalog`] replaces all items, so an entry VM with this
+/// revision must have them in this version.
+fn assert_items_of_revision(world: &World, seed: u64) {
+    for i in world.with_role(Role::Entry) {
+        let catalog = world.processes[i].fleet.view().catalog;
+        let revision = catalog.revision();
+        let items = catalog.live_items(ItemKind::Service);
+        let current = items.filter(|item| item.version >= revision);
+        if revision > 1 {
+            assert_eq!(current.count(), CHANGED_ITEMS, "seed {seed}");
+        }
+    }
+}
--- a/crates/pimento_fleet/tests/world/mod.rs
+++ b/crates/pimento_fleet/tests/world/mod.rs
@@ -22,6 +22,8 @@
     pub alive: bool,
     /// Whether it stands still; it handles what arrived meanwhile afterwards.
     pub frozen: bool,
+    /// Whether nothing that it sends arrives.
+    pub mute: bool,
     /// Only processes in the same network partition reach each other.
     pub partition: u8,
     /// The role that it can't exchange datagrams with.
@@ -182,6 +184,7 @@
             role,
             alive: true,
             frozen: false,
+            mute: false,
             partition: 0,
             cut_from: None,
             decisions: Vec::new(),
@@ -368,7 +371,7 @@
                 bytes: datagram.len(),
             });
             let is_cut = self.processes[to].is_cut_from(&self.processes[from]);
-            if is_cut || self.rng.random_bool(self.loss) {
+            if is_cut || self.processes[from].mute || self.rng.random_bool(self.loss) {
                 continue;
             }
             let from = self.processes[from].address;
