A replica publishes the newest items only, not each state that it passes

Cause: the catalog was published for each applied entry, and a replica that restarts applies its whole log in one step. Each of these states also rebuilt the routing state of the fleet, a cost that grows with log and targets.

Change: it is published once for all entries that were applied together.

--- a/crates/pimento_control/src/actor.rs
+++ b/crates/pimento_control/src/actor.rs
@@ -267,6 +267,7 @@
                 other => self.handle_log_effect(other),
             }
         }
+        self.publish();
         self.flush_writes(ctx);
         self.compact(ctx);
     }
--- a/crates/pimento_control/src/apply.rs
+++ b/crates/pimento_control/src/apply.rs
@@ -44,7 +44,6 @@
         self.applied_bytes += entry.payload.len() + ENTRY_OVERHEAD_BYTES;
         self.answer_proposals(entry, response);
         self.notify_applied();
-        self.publish();
     }
 
     fn apply_command(&mut self, entry: &Entry) -> Response {
@@ -98,11 +97,12 @@
             proposal.responder.send(unknown);
         }
         self.notify_applied();
-        self.publish();
     }
 
-    /// Notifies the subscribers of newer rules and items.
-    fn publish(&mut self) {
+    /// Notifies the subscribers of newer rules and items, once for all entries that
+    /// were applied together: a replica that restarts applies its whole log, and
+    /// old states of it must not come into force.
+    pub(crate) fn publish(&mut self) {
         self.publish_catalog();
         self.publish_rules();
     }
