Item delivery: one place that decides what is in flight; more sets may be incomplete

No change of behaviour but the number of incomplete sets that an entry VM keeps, 64 where it kept 16: small changes are sets of their own now. Tests of pimento_fleet passed.

--- a/crates/pimento_fleet/src/item_delivery.rs
+++ b/crates/pimento_fleet/src/item_delivery.rs
@@ -67,6 +67,20 @@
             ..items
         });
     }
+
+    /// What is in flight to the process, without items that count as lost.
+    fn items_in_flight(&self, now: Time) -> ItemsInFlight {
+        let nothing = |repeats| ItemsInFlight {
+            to: self.revision,
+            since: now,
+            repeats,
+        };
+        match self.in_flight {
+            Some(items) if items.is_overdue(now) => nothing(items.repeats + 1),
+            Some(items) => items,
+            None => nothing(0),
+        }
+    }
 }
 
 impl Fleet {
@@ -96,18 +110,15 @@
         let Some(node) = self.members.get_mut(&to) else {
             return Vec::new();
         };
-        let in_flight = node.in_flight.filter(|items| !items.is_overdue(now));
-        let from = in_flight.map_or(node.revision, |items| items.to);
+        let in_flight = node.items_in_flight(now);
+        let from = in_flight.to;
         if from >= newest {
             return Vec::new();
         }
-        let lost = node.in_flight.map(|items| items.repeats + 1);
-        let sent = in_flight.unwrap_or(ItemsInFlight {
+        node.in_flight = Some(ItemsInFlight {
             to: newest,
-            since: now,
-            repeats: lost.unwrap_or(0),
+            ..in_flight
         });
-        node.in_flight = Some(ItemsInFlight { to: newest, ..sent });
         let mut changes: Vec<_> = self.catalog.changes_since(from).cloned().collect();
         for stored in &mut changes {
             // Only control VMs return the source text that operators sent.
@@ -131,7 +142,9 @@
             .filter(|n| self.must_resend(now, n))
             .map(|n| n.address)
             .collect();
-        due.into_iter().flat_map(|to| self.help(now, to)).collect()
+        due.into_iter()
+            .flat_map(|to| self.deliver_late_items(now, to))
+            .collect()
     }
 
     /// Whether this control VM must send an entry VM items before its next heartbeat.
@@ -143,17 +156,20 @@
             || (self.lacks_items(now, node, LAG_LIMIT) && self.is_next_control(now, &node.info))
     }
 
-    /// Sends an entry VM that follows another control VM the items that it lacks.
-    pub(crate) fn help_lagging(&mut self, now: Time, address: SocketAddr) -> Vec<Effect> {
-        let node = self.members.get(&address);
+    /// Sends an entry VM that follows another control VM the items that it has lacked
+    /// for too long.
+    pub(crate) fn help_lagging(&mut self, now: Time, to: SocketAddr) -> Vec<Effect> {
+        let node = self.members.get(&to);
         if node.is_some_and(|n| self.lacks_items(now, n, MAX_LAG)) {
-            self.help(now, address)
+            self.deliver_late_items(now, to)
         } else {
             Vec::new()
         }
     }
 
-    fn help(&mut self, now: Time, to: SocketAddr) -> Vec<Effect> {
+    /// Sends items as [`Self::deliver_items`] does, and reports a receiver that follows
+    /// another control VM.
+    fn deliver_late_items(&mut self, now: Time, to: SocketAddr) -> Vec<Effect> {
         let mut effects = self.deliver_items(now, to);
         let helped = self.members.get(&to).filter(|n| !is_follower(now, n));
         if let Some(node) = helped.filter(|_| !effects.is_empty()) {
@@ -172,17 +188,17 @@
         node.revision < self.applied.at_least(now, age)
     }
 
+    /// Records what an entry VM reports; a report of an earlier incarnation is ignored.
     pub(crate) fn handle_revision_report(
         &mut self,
         now: Time,
         from: SocketAddr,
         report: RevisionReport,
-    ) -> Vec<Effect> {
-        let is_known = self.members.record_alive(now, &from, report.incarnation);
-        if let Some(node) = self.members.get_mut(&from).filter(|_| is_known) {
+    ) {
+        let is_current = self.members.record_alive(now, &from, report.incarnation);
+        if let Some(node) = self.members.get_mut(&from).filter(|_| is_current) {
             node.record_revision(now, report.revision);
         }
-        Vec::new()
     }
 
     /// Reports the revision of this entry VM to the control VMs that sent it items
--- a/crates/pimento_fleet/src/item_parts.rs
+++ b/crates/pimento_fleet/src/item_parts.rs
@@ -19,7 +19,7 @@
 /// The bytes that the encoding adds to each item.
 const ITEM_OVERHEAD_BYTES: usize = 4;
 /// The most incomplete sets that are kept; the oldest is dropped first.
-const MAX_PARTIAL_SETS: usize = 16;
+const MAX_PARTIAL_SETS: usize = 64;
 /// The most sets that wait for those that precede them; the newest is dropped first.
 const MAX_RANGES: usize = 64;
 /// The most parts of a set, which bounds what a malformed message can allocate.
--- a/crates/pimento_fleet/src/receive.rs
+++ b/crates/pimento_fleet/src/receive.rs
@@ -55,7 +55,10 @@
             Body::PermitRequest(request) => self.handle_permit_request(now, from, &request),
             Body::PermitDecision(decision) => self.handle_decision(now, from, decision),
             Body::Release(release) => self.handle_releases(now, &release),
-            Body::RevisionReport(report) => self.handle_revision_report(now, from, report),
+            Body::RevisionReport(report) => {
+                self.handle_revision_report(now, from, report);
+                Vec::new()
+            }
             Body::Leave(incarnation) => {
                 self.members.remove(&from, incarnation);
                 vec![Effect::ViewChanged]
