Target updates reach entry VMs whose heartbeats are lost

Cause: an entry VM that was not heard for 1.7 s counts as dead, and is told of no target update, though it serves and its downlink delivers. In storm-press heartbeats are lost for up to 5 s.

Change: the two control VMs that such a VM would follow first send it target updates as well, once. Nothing waits for it, so a dead VM delays no acknowledgement as before.

Test: drain_reaches_vm_with_full_uplink failed before (the target stayed routable at the silent VM). All tests of pimento_fleet passed.

--- a/crates/pimento_fleet/src/propagation.rs
+++ b/crates/pimento_fleet/src/propagation.rs
@@ -51,7 +51,10 @@
             self.broadcast
                 .start(now, current.clone(), recipients, confirm_from)
         });
-        if !must_confirm {
+        if must_confirm {
+            let silent = self.silent_entries(now);
+            effects.extend(target_messages(silent, std::slice::from_ref(&current)));
+        } else {
             self.pending_updates.push(current);
         }
         let updates = self.broadcast.take_due(now);
@@ -104,8 +107,8 @@
     }
 
     /// Sends the updates since the last call to the entry VMs that follow this
-    /// control VM. If the message is lost, they get the updates when they next
-    /// compare their target digests.
+    /// control VM, and to silent ones. If the message is lost, they get the updates
+    /// when they next compare their target digests.
     ///
     /// All updates of a tick go in one message: when hundreds of targets report
     /// at once, as after a restart of the whole system, one message per target
@@ -114,14 +117,19 @@
         if self.pending_updates.is_empty() {
             return Vec::new();
         }
-        let targets = Targets {
-            buckets: Vec::new(),
-            targets: std::mem::take(&mut self.pending_updates),
-        };
+        let updates = std::mem::take(&mut self.pending_updates);
         let followers = self.followers(now).map(|n| n.address);
-        followers
-            .map(|to| send(to, Body::Targets(targets.clone())))
-            .collect()
+        target_messages(followers.chain(self.silent_entries(now)), &updates)
+    }
+
+    /// The entry VMs whose heartbeats don't arrive and that would follow this control
+    /// VM first or next. They may serve behind a full uplink, so they are told of
+    /// updates, though nothing waits for their acknowledgement.
+    fn silent_entries(&self, now: Time) -> impl Iterator<Item = SocketAddr> {
+        let entries = self.members.with_role(Role::Entry);
+        let silent = entries.filter(move |n| !self.is_live(now, &n.address));
+        let own = silent.filter(move |n| self.is_next_control(now, &n.info));
+        own.map(|n| n.address)
     }
 
     pub(crate) fn drop_dead_recipients(&mut self, now: Time) {
@@ -165,3 +173,15 @@
         self.confirmed.iter().any(same)
     }
 }
+
+/// Tells processes of the states of targets.
+fn target_messages(receivers: impl Iterator<Item = SocketAddr>, targets: &[Target]) -> Vec<Effect> {
+    let message = |to| {
+        let body = Targets {
+            buckets: Vec::new(),
+            targets: targets.to_vec(),
+        };
+        send(to, Body::Targets(body))
+    };
+    receivers.map(message).collect()
+}
--- a/crates/pimento_fleet/tests/draining.rs
+++ b/crates/pimento_fleet/tests/draining.rs
@@ -66,6 +66,20 @@
     assert!(confirmed);
 }
 
+// An entry VM whose heartbeats are lost counts as dead, but serves and can be told.
+#[test]
+fn drain_reaches_vm_with_full_uplink() {
+    for control in 0..6 {
+        let mut world = settled_world(1);
+        let silent = world.with_role(Role::Entry)[0];
+        world.processes[silent].mute = true;
+        world.run(3 * SECOND);
+        world.report(control, &target("t", Stage::Draining, 2));
+        world.run(SECOND);
+        assert_eq!(entries_with(&world), 0, "control VM {control}");
+    }
+}
+
 #[test]
 fn drain_repeated_at_another_control() {
     let mut world = settled_world(1);
