Test that a lost change is not passed over

A variant that advances the revision over a gap passed all tests; it fails revision_waits_for_lost_change.

--- a/crates/pimento_fleet/tests/lagging.rs
+++ b/crates/pimento_fleet/tests/lagging.rs
@@ -5,7 +5,7 @@
 
 use pimento_core::Time;
 use pimento_fleet::Role;
-use pimento_items::{Body, Catalog, Changeset, Item, ItemKind, Service};
+use pimento_items::{Body, Catalog, Changeset, Item, ItemKind, Limits, Service};
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 use world::{World, world_with_domains};
 
@@ -252,3 +252,39 @@
         }
     }
 }
+
+/// A catalog to which each version has added one item.
+fn growing_catalog(newest: u64) -> Arc<Catalog> {
+    let mut growing = Catalog::default();
+    for version in 1..=newest {
+        let body = Body::Limits(Limits::default());
+        let items = vec![Item::new(format!("item-{version}"), version, body)];
+        growing
+            .apply_changeset(version, &Changeset { items })
+            .unwrap();
+    }
+    Arc::new(growing)
+}
+
+// A lost change must not be passed over when a later one arrives.
+#[test]
+fn revision_waits_for_lost_change() {
+    for seed in 0..20 {
+        let mut world = world_with_domains(6, 12, 6, seed);
+        world.set_items(1);
+        world.run(3 * SECOND);
+        world.loss = 0.5;
+        for version in 2..30 {
+            for i in world.with_role(Role::Control) {
+                world.set_catalog_at(i, growing_catalog(version));
+            }
+            world.run(Duration::from_millis(50));
+            for i in world.with_role(Role::Entry) {
+                let catalog = world.processes[i].fleet.view().catalog;
+                // The first version is of another item.
+                let count = 1 + catalog.live_items(ItemKind::Limits).count() as u64;
+                assert!(count >= catalog.revision(), "seed {seed}");
+            }
+        }
+    }
+}
