--- a/crates/pimento_fleet/tests/lagging.rs
+++ b/crates/pimento_fleet/tests/lagging.rs
@@ -20,7 +20,12 @@
 
 /// Each entry VM follows the only control VM of its failure domain.
 fn one_control_per_domain() -> World {
-    let mut world = world_with_domains(6, 12, 6, 1);
+    settled_world(12, 1)
+}
+
+/// The same with any number of entry VMs.
+fn settled_world(entries: u8, seed: u64) -> World {
+    let mut world = world_with_domains(6, entries, 6, seed);
     world.set_items(1);
     world.run(3 * SECOND);
     world
@@ -138,9 +143,7 @@
 #[test]
 fn large_change_passes_crowded_links() {
     for seed in 0..20 {
-        let mut world = world_with_domains(6, 60, 6, seed);
-        world.set_items(1);
-        world.run(3 * SECOND);
+        let mut world = settled_world(60, seed);
         world.loss = CROWDED_LOSS;
         for version in 2..6 {
             for i in world.with_role(Role::Control) {
@@ -166,9 +169,7 @@
 #[test]
 fn storm_passes_stuck_control_despite_losses() {
     for seed in 0..20 {
-        let mut world = world_with_domains(6, 60, 6, seed);
-        world.set_items(1);
-        world.run(3 * SECOND);
+        let mut world = settled_world(60, seed);
         world.loss = SLIGHT_LOSS;
         let longest = longest_lag(&mut world, STORM_INTERVAL, None);
         assert!(
@@ -225,9 +226,7 @@
 #[test]
 fn revision_claims_no_missing_items() {
     for seed in 0..20 {
-        let mut world = world_with_domains(6, 12, 6, seed);
-        world.set_items(1);
-        world.run(3 * SECOND);
+        let mut world = settled_world(12, seed);
         world.loss = 0.5;
         for version in 2..12 {
             for i in world.with_role(Role::Control) {
@@ -270,9 +269,7 @@
 #[test]
 fn revision_waits_for_lost_change() {
     for seed in 0..20 {
-        let mut world = world_with_domains(6, 12, 6, seed);
-        world.set_items(1);
-        world.run(3 * SECOND);
+        let mut world = settled_world(12, seed);
         world.loss = 0.5;
         for version in 2..30 {
             for i in world.with_role(Role::Control) {
