--- a/crates/pimento_fleet/tests/lagging.rs
+++ b/crates/pimento_fleet/tests/lagging.rs
@@ -57,11 +57,16 @@
     longest
 }
 
+/// The items that each entry VM has.
+fn entry_catalogs(world: &World) -> impl Iterator<Item = Arc<Catalog>> {
+    let entries = world.with_role(Role::Entry).into_iter();
+    entries.map(|i| world.processes[i].fleet.view().catalog)
+}
+
 /// How long ago the oldest change was made that some entry VM lacks.
 fn current_lag(world: &World, applied: &[(Time, u64)]) -> Duration {
-    let entries = world.with_role(Role::Entry);
-    let revision = |i: &usize| world.processes[*i].fleet.view().catalog.revision();
-    let oldest = entries.iter().map(revision).min().unwrap_or(0);
+    let revisions = entry_catalogs(world).map(|catalog| catalog.revision());
+    let oldest = revisions.min().unwrap_or(0);
     let missing = applied.iter().find(|(_, version)| *version > oldest);
     missing.map_or(Duration::ZERO, |(at, _)| world.now.since(*at))
 }
@@ -128,13 +133,11 @@
 
 /// The number of items that some entry VM lacks in this version.
 fn missing_items(world: &World, version: u64) -> usize {
-    let current = |i: &usize| {
-        let catalog = world.processes[*i].fleet.view().catalog;
+    let current = |catalog: Arc<Catalog>| {
         let items = catalog.live_items(ItemKind::Service);
         items.filter(|item| item.version >= version).count()
     };
-    let entries = world.with_role(Role::Entry);
-    let fewest = entries.iter().map(current).min().unwrap_or(0);
+    let fewest = entry_catalogs(world).map(current).min().unwrap_or(0);
     CHANGED_ITEMS - fewest
 }
 
@@ -154,9 +157,8 @@
         }
         world.loss = 0.0;
         world.run(SECOND);
-        for i in world.with_role(Role::Entry) {
-            let revision = world.processes[i].fleet.view().catalog.revision();
-            assert_eq!(revision, 5, "seed {seed}");
+        for catalog in entry_catalogs(&world) {
+            assert_eq!(catalog.revision(), 5, "seed {seed}");
         }
     }
 }
@@ -241,8 +243,7 @@
 /// Each version of [`large_catalog`] replaces all items, so an entry VM with this
 /// revision must have them in this version.
 fn assert_items_of_revision(world: &World, seed: u64) {
-    for i in world.with_role(Role::Entry) {
-        let catalog = world.processes[i].fleet.view().catalog;
+    for catalog in entry_catalogs(world) {
         let revision = catalog.revision();
         let items = catalog.live_items(ItemKind::Service);
         let current = items.filter(|item| item.version >= revision);
@@ -276,8 +277,7 @@
                 world.set_catalog_at(i, growing_catalog(version));
             }
             world.run(Duration::from_millis(50));
-            for i in world.with_role(Role::Entry) {
-                let catalog = world.processes[i].fleet.view().catalog;
+            for catalog in entry_catalogs(&world) {
                 // The first version is of another item.
                 let count = 1 + catalog.live_items(ItemKind::Limits).count() as u64;
                 assert!(count >= catalog.revision(), "seed {seed}");
