Logs tell which requests a crashed target had

Event 504 now carries a fingerprint of what stays the same when a caller sends a request again (method, host, path, body and the headers that tell callers apart; a hash, so it shows nothing of them). The new event 513 says that a target which broke off requests has ended, and which it had: its address refuses connections, or another incarnation has its place. A target that is reset or can't be reached, or that leaves, gives no event. What is sent where stays as it was.

Outcome::Broken holds an enum in place of a text, since a foreign answer or an unclear refusal is no sign of a crash.

--- a/crates/pimento_gateway/src/attempt.rs
+++ b/crates/pimento_gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     HeaderNames, ResponseBody,
+    break_cause::BreakCause,
     gateway::Inner,
     headers,
     inbound::{Inbound, InboundBody},
@@ -53,7 +54,7 @@
     Held(Hold),
     /// The request was sent, but no response that certainly belongs to it came
     /// back.
-    Broken(&'static str),
+    Broken(BreakCause),
     /// The deadline passed; true if the request had been sent.
     Timeout(bool),
 }
@@ -165,7 +166,7 @@
                     // The idle connection had closed before anything was written.
                     Some(unsent) if connection.used => request = unsent,
                     Some(_) => return Outcome::NotSent("the target closed the connection"),
-                    None => return Outcome::Broken("the target broke off"),
+                    None => return Outcome::Broken(BreakCause::Closed),
                 },
             }
         }
@@ -240,10 +241,10 @@
         // Only an upgrade reaches here as an informational response, and none is
         // ever requested.
         if parts.status.is_informational() {
-            return Outcome::Broken("the target upgrades the connection");
+            return Outcome::Broken(BreakCause::Upgrade);
         }
         if !self.is_own_response(inbound, &connection, &parts) {
-            return Outcome::Broken("the answer belongs to another request");
+            return Outcome::Broken(BreakCause::ForeignAnswer);
         }
         report.load = parse_load(&parts.headers, self.header_names);
         let cold = headers::number_value(&parts.headers, &self.header_names.cold);
@@ -259,7 +260,7 @@
         let replaced = parts.status == StatusCode::MISDIRECTED_REQUEST;
         let shed = parts.headers.contains_key(&self.header_names.not_run);
         if self.non_idempotent && !shed && promises_not_run(parts.status) {
-            return Outcome::Broken("the target refused the request, but may have run it");
+            return Outcome::Broken(BreakCause::UnclearRefusal);
         }
         headers::strip_hop_by_hop(&mut parts.headers);
         let link_rate = self.inner.config.link_rate;
@@ -294,7 +295,7 @@
             }
             match buffered {
                 Err(_) => return Outcome::Timeout(true),
-                Ok(Err(_)) => return Outcome::Broken("the answer ended early"),
+                Ok(Err(_)) => return Outcome::Broken(BreakCause::Truncated),
                 Ok(Ok(body)) => body,
             }
         };
--- a/crates/pimento_gateway/src/gateway.rs
+++ b/crates/pimento_gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     ConnectionLimits, GracefulShutdown, HeaderNames, ResponseBody,
+    crash_probes::CrashProbes,
     handler::{RESPONSE_MARGIN, RequestHandler},
     inbound::Inbound,
     link_usage::LinkUsage,
@@ -73,6 +74,7 @@
     pub shard_backoff: RefCell<ShardBackoff>,
     /// What targets said of themselves in their responses.
     pub notices: RefCell<TargetNotices>,
+    pub crash_probes: CrashProbes,
     pub link_usage: LinkUsage,
     /// The traffic split of each route with several services, sorted by route
     /// name.
@@ -110,6 +112,7 @@
             retry_budgets: RetryBudgets::default(),
             shard_backoff: RefCell::default(),
             notices: RefCell::default(),
+            crash_probes: CrashProbes::default(),
             link_usage: LinkUsage::new(link_rate),
             splits: RefCell::default(),
             serial: Cell::new(1),
--- a/crates/pimento_gateway/src/handler.rs
+++ b/crates/pimento_gateway/src/handler.rs
@@ -18,7 +18,8 @@
 use pimento_items::{RetrySafety, Route, WeightedRoundRobin};
 use pimento_log::{Event, event};
 use pimento_notices::UNUSABLE_DELAY;
-use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
+use pimento_poison::Fingerprint;
+use std::{cell::OnceCell, pin::pin, rc::Rc, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
 /// How long before the caller's timeout the response is sent, so that it arrives
@@ -42,6 +43,8 @@
     permit_wait: Duration,
     /// The numbers of running and waiting requests that the last target reported.
     load: Option<(u32, u32)>,
+    /// What identifies the request; hashed only when it is needed.
+    fingerprint: OnceCell<Fingerprint>,
 }
 
 /// The parameters of a request that its route determines.
@@ -78,9 +81,17 @@
             tried: Vec::new(),
             permit_wait: Duration::ZERO,
             load: None,
+            fingerprint: OnceCell::new(),
         }
     }
 
+    fn fingerprint(&self) -> Fingerprint {
+        let header_names = &self.inner.config.header_names;
+        *self
+            .fingerprint
+            .get_or_init(|| self.inbound.fingerprint(header_names))
+    }
+
     /// Serves the request and returns the response for the caller.
     pub(crate) async fn run(mut self) -> GatewayResponse {
         let plan = match self.plan() {
@@ -254,6 +265,10 @@
         // A permit may be granted by a VM that doesn't know yet that the target
         // wants no requests.
         let mut spends_body = matches!(self.inbound.body, InboundBody::Streaming(..));
+        if spends_body {
+            // The attempt consumes what is hashed.
+            self.fingerprint();
+        }
         let (outcome, load_report) = match self.inner.hold(target) {
             Some(hold) => {
                 spends_body = false;
@@ -268,6 +283,9 @@
             .inner
             .request_report(target, &outcome, &load_report, took);
         permit.release(report);
+        if matches!(outcome, Outcome::Broken(cause) if cause.may_be_crash()) {
+            self.inner.suspect_crash(target, self.fingerprint());
+        }
         self.log_attempt(plan, id, &outcome);
         match self.next_step(plan, outcome, load_report.notice().pause, non_idempotent) {
             // Another target would get the request without its body.
@@ -301,10 +319,12 @@
             }
             Outcome::Held(hold) => NextStep::Retry(refusals::held(hold)),
             Outcome::NotSent(reason) => NextStep::Retry(refusals::not_run(reason)),
-            Outcome::Broken(reason) if retryable => {
-                NextStep::Retry(refusals::may_have_run(false, reason))
+            Outcome::Broken(cause) if retryable => {
+                NextStep::Retry(refusals::may_have_run(false, cause.reason()))
+            }
+            Outcome::Broken(cause) => {
+                NextStep::Finish(refusals::may_have_run(false, cause.reason()))
             }
-            Outcome::Broken(reason) => NextStep::Finish(refusals::may_have_run(false, reason)),
             Outcome::Timeout(true) => {
                 NextStep::Finish(refusals::may_have_run(true, "the time is up"))
             }
@@ -342,7 +362,7 @@
             Outcome::Replaced => ("another target has the address", "not-run"),
             Outcome::NotSent(cause) => (*cause, "not-run"),
             Outcome::Held(hold) => (hold_reason(*hold), "not-run"),
-            Outcome::Broken(cause) => (*cause, "may-have-run"),
+            Outcome::Broken(cause) => (cause.reason(), "may-have-run"),
             Outcome::Timeout(true) => ("the time is up", "may-have-run"),
             Outcome::Timeout(false) => ("the time is up", "not-run"),
         };
@@ -350,6 +370,7 @@
             event!(self.inner.log, Event::AttemptFailed, "id" => &self.inbound.id,
                 "service" => &*plan.service, "target" => &**target, "cause" => cause,
                 "verdict" => verdict, "revision" => self.view.catalog.revision(),
+                "request" => self.fingerprint.get().map(ToString::to_string),
                 "dropped" => dropped);
         }
     }
--- a/crates/pimento_gateway/src/header_names.rs
+++ b/crates/pimento_gateway/src/header_names.rs
@@ -26,4 +26,7 @@
     /// The requests per second that the target takes from all VMs together, a
     /// decimal number.
     pub limit: HeaderName,
+    /// The headers that tell callers apart. With the path and the body they show
+    /// that a caller sends a request again.
+    pub caller: Vec<HeaderName>,
 }
--- a/crates/pimento_gateway/src/inbound.rs
+++ b/crates/pimento_gateway/src/inbound.rs
@@ -11,6 +11,7 @@
 };
 use pimento_core::hash;
 use pimento_items::Limits;
+use pimento_poison::Fingerprint;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -118,6 +119,30 @@
         })
     }
 
+    /// What identifies the request when its caller sends it again. Of a streaming
+    /// body only the beginning and the length count, if that is known.
+    pub(crate) fn fingerprint(&self, header_names: &HeaderNames) -> Fingerprint {
+        let (body, length) = match &self.body {
+            InboundBody::Buffered(bytes) => (&**bytes, Some(bytes.len() as u64)),
+            InboundBody::Streaming(read, rest) => {
+                let total = rest.size_hint().exact().map(|n| n + read.len() as u64);
+                (&read[..read.len().min(MAX_BUFFERED_BODY_BYTES)], total)
+            }
+        };
+        let path = self.uri.path_and_query().map_or("", |p| p.as_str());
+        let length = length.map_or([0xff; 8], u64::to_le_bytes);
+        let content = [
+            self.method.as_str().as_bytes(),
+            self.host.as_bytes(),
+            path.as_bytes(),
+            body,
+            &length,
+        ];
+        let names = header_names.caller.iter();
+        let caller = names.map(|name| self.headers.get(name).map_or(&b""[..], |v| v.as_bytes()));
+        Fingerprint::of(content.into_iter().chain(caller))
+    }
+
     /// The request path without the query.
     pub(crate) fn path(&self) -> &str {
         self.uri.path()
--- a/crates/pimento_gateway/src/lib.rs
+++ b/crates/pimento_gateway/src/lib.rs
@@ -9,6 +9,8 @@
 //! how much of a request was sent. See `docs/design/gateway.md`.
 
 mod attempt;
+mod break_cause;
+mod crash_probes;
 mod gateway;
 mod handler;
 mod header_names;
--- a/crates/pimento_gateway/tests/support/mod.rs
+++ b/crates/pimento_gateway/tests/support/mod.rs
@@ -6,7 +6,7 @@
 pub mod raw_target;
 
 use actix::Addr;
-use hyper::header::HeaderName;
+use hyper::header::{HeaderName, USER_AGENT};
 use pimento_fleet::{
     FleetActor, FleetConfig, NodeInfo, Role, SetCatalog, SharedView, TargetReport,
 };
@@ -107,6 +107,7 @@
         leaving: HeaderName::from_static("leaving"),
         cold: HeaderName::from_static("cold"),
         limit: HeaderName::from_static("limit"),
+        caller: vec![USER_AGENT],
     }
 }
 
--- a/crates/pimento_log/src/event.rs
+++ b/crates/pimento_log/src/event.rs
@@ -101,6 +101,8 @@
     TargetResumed = 511, Info, "target resumed";
     /// A target named another limit of requests per second, or none any more.
     TargetLimited = 512, Info, "target limited";
+    /// A target crashed while it had requests.
+    TargetCrashed = 513, Warning, "target crashed";
     /// This control VM became the leader.
     LeaderElected = 601, Info, "elected leader";
     /// This control VM is no longer the leader.
