Failing test: a request that ends targets is sent on each time it comes again

The stand-in of a target can end now: connections break off and its address refuses others. A request that ends each target that runs it is sent until three have ended, and 3 s later once more. Callers see 502 'the target broke off' and another target ends, where the request should be refused.

--- a/crates/pimento_gateway/tests/support/mod.rs
+++ b/crates/pimento_gateway/tests/support/mod.rs
@@ -30,6 +30,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::watch,
     time::{sleep, timeout},
 };
 
@@ -73,8 +74,14 @@
     FailWithoutId(&'static str),
     /// Responds with a body of [`LARGE_BODY_BYTES`].
     Large,
+    /// Responds after a delay. A request whose path contains [`DEADLY`] ends its
+    /// process: the connections break off and its address refuses others.
+    Mortal(Duration),
 }
 
+/// Marks the path of a request that ends a [`Behavior::Mortal`] target.
+pub const DEADLY: &str = "deadly";
+
 pub struct FakeTarget {
     pub id: String,
     pub address: SocketAddr,
@@ -85,6 +92,8 @@
     pub runs: Rc<Cell<u32>>,
     /// The number of connections that the gateway closed before the response.
     pub disconnects: Rc<Cell<u32>>,
+    /// Whether its process has ended.
+    pub ended: watch::Receiver<bool>,
 }
 
 pub struct TestBed {
@@ -299,6 +308,11 @@
         Reply::parse(&bytes, read.is_ok())
     }
 
+    /// The number of targets whose process has ended.
+    pub fn ended(&self) -> usize {
+        self.targets.iter().filter(|t| *t.ended.borrow()).count()
+    }
+
     pub fn runs(&self) -> u32 {
         self.targets.iter().map(|t| t.runs.get()).sum()
     }
@@ -349,6 +363,7 @@
 impl FakeTarget {
     async fn start(number: usize, behavior: Behavior) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (end, ended) = watch::channel(false);
         let target = Self {
             id: format!("t{number}"),
             address: listener.local_addr().unwrap(),
@@ -356,19 +371,29 @@
             requests: Rc::default(),
             runs: Rc::default(),
             disconnects: Rc::default(),
+            ended: ended.clone(),
         };
+        let end = Rc::new(end);
         let (behavior, requests) = (Rc::clone(&target.behavior), Rc::clone(&target.requests));
         let (runs, disconnects) = (Rc::clone(&target.runs), Rc::clone(&target.disconnects));
+        let mut listener_ended = ended.clone();
         actix_rt::spawn(async move {
-            while let Ok((tcp, _)) = listener.accept().await {
+            loop {
+                let tcp = tokio::select! {
+                    accepted = listener.accept() => accepted.unwrap().0,
+                    _ = listener_ended.wait_for(|ended| *ended) => return,
+                };
                 let (behavior, requests) = (Rc::clone(&behavior), Rc::clone(&requests));
                 let (runs, disconnects) = (Rc::clone(&runs), Rc::clone(&disconnects));
+                let (end, mut ended) = (Rc::clone(&end), ended.clone());
                 actix_rt::spawn(async move {
-                    if serve_connection(tcp, &behavior, &requests, &runs)
-                        .await
-                        .is_none()
-                    {
-                        disconnects.set(disconnects.get() + 1);
+                    tokio::select! {
+                        served = serve_connection(tcp, &behavior, &requests, &runs, &end) => {
+                            if served.is_none() {
+                                disconnects.set(disconnects.get() + 1);
+                            }
+                        }
+                        _ = ended.wait_for(|ended| *ended) => {}
                     }
                 });
             }
@@ -397,12 +422,14 @@
     behavior: &Cell<Behavior>,
     requests: &RefCell<Vec<String>>,
     runs: &Cell<u32>,
+    end: &watch::Sender<bool>,
 ) -> Option<()> {
     loop {
         let Some(request) = read_request(&mut tcp).await else {
             return Some(());
         };
         let id = header(&request, "id");
+        let is_deadly = request.lines().next().is_some_and(|l| l.contains(DEADLY));
         requests.borrow_mut().push(request);
         let behavior = behavior.get();
         if !matches!(
@@ -414,13 +441,19 @@
         ) {
             runs.set(runs.get() + 1);
         }
-        if let Behavior::Slow(delay) | Behavior::SlowShedWith(delay, _) = behavior {
+        if let Behavior::Slow(delay) | Behavior::SlowShedWith(delay, _) | Behavior::Mortal(delay) =
+            behavior
+        {
             let mut byte = [0];
             tokio::select! {
                 () = sleep(delay) => {}
                 _ = tcp.read(&mut byte) => return None,
             }
         }
+        if is_deadly && matches!(behavior, Behavior::Mortal(_)) {
+            end.send_replace(true);
+            return Some(());
+        }
         tcp.write_all(response_text(behavior, &id).as_bytes())
             .await
             .ok()?;
@@ -440,7 +473,9 @@
         )
     };
     match behavior {
-        Behavior::Respond | Behavior::Slow(_) => response("200 OK", id, "Load: 1,0,4\r\n"),
+        Behavior::Respond | Behavior::Slow(_) | Behavior::Mortal(_) => {
+            response("200 OK", id, "Load: 1,0,4\r\n")
+        }
         Behavior::RespondWith(extra) => response("200 OK", id, extra),
         Behavior::ShedWith(extra) | Behavior::SlowShedWith(_, extra) => {
             let extra = format!("Not-Run: 1\r\n{extra}");
