Popular requests are not refused for crashes that they only meet

Requests of callers that can't be told apart have the same fingerprint, so a popular one is on most targets, meets each crash, and met more crashes than either of two poison requests.

Cause: a request was watched, and so could be acquitted, only from its second crash on, and refused in the same moment as the third counted; an answer from before the crash said nothing. Now a request is watched from its first crash on, for 1.2 s at least before it is refused; each VM remembers for 10 s which requests were answered, doesn't blame these, and acquits them when another VM watches them. What became poison since is suspected after 10 s. Where verdicts have no room left, single crashes are not watched, so that a flood doesn't displace others.

--- a/crates/pimento_fleet/src/actor.rs
+++ b/crates/pimento_fleet/src/actor.rs
@@ -9,7 +9,7 @@
 use pimento_core::{Clock, Time};
 use pimento_items::Catalog;
 use pimento_log::{Event, Logger, event};
-use pimento_poison::{Decision, Fingerprint};
+use pimento_poison::{Decision, Fingerprint, Ruling, Verdict};
 use pimento_registry::Target;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{net::UdpSocket, sync::oneshot};
@@ -150,8 +150,14 @@
         drop(self.waiting_requests.swap_remove(index).1.send(decision));
     }
 
+    /// Logs a verdict, but for requests that met a single crash: a loss of power is
+    /// met by many.
     fn log_ruling(&self, decision: &Decision) {
         let ruling = &decision.ruling;
+        let is_refusal = ruling.verdict == Verdict::Refused || decision.was_refused;
+        if !is_refusal && decision.crashes.is_none_or(|n| n < 2) {
+            return;
+        }
         event!(self.log, Event::RequestRuled, "request" => %ruling.request,
             "verdict" => ruling.verdict.name(), "version" => ruling.version,
             "age_ms" => ruling.age.as_millis() as u64, "crashes" => decision.crashes);
@@ -417,8 +423,8 @@
         /// How long ago it crashed.
         age: Duration,
     },
-    /// The request got an answer, or an operator lifts its refusal.
-    Acquitted(Fingerprint),
+    /// A target answered the request completely.
+    Answered(Fingerprint),
     /// The request was refused.
     Refused(Fingerprint),
 }
@@ -437,13 +443,43 @@
                 self.fleet.report_crash(now, incarnation, &requests, age);
                 Vec::new()
             }
-            PoisonReport::Acquitted(request) => self.fleet.acquit_request(now, request),
+            PoisonReport::Answered(request) => self.fleet.report_answer(now, request),
             PoisonReport::Refused(request) => self.fleet.renew_refusal(now, request),
         };
         self.apply_effects(effects);
     }
 }
 
+/// Returns the verdicts on requests that this process knows, sorted by request.
+#[derive(Debug, Message)]
+#[rtype(result = "Vec<Ruling>")]
+pub struct GetRulings;
+
+impl Handler<GetRulings> for FleetActor {
+    type Result = MessageResult<GetRulings>;
+
+    fn handle(&mut self, _: GetRulings, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.fleet.rulings(self.now()))
+    }
+}
+
+/// Lifts the refusal of a request at all VMs. The response says whether there was
+/// one.
+#[derive(Debug, Message)]
+#[rtype(result = "bool")]
+pub struct LiftRefusal(pub Fingerprint);
+
+impl Handler<LiftRefusal> for FleetActor {
+    type Result = bool;
+
+    fn handle(&mut self, msg: LiftRefusal, _: &mut Context<Self>) -> bool {
+        let effects = self.fleet.acquit_request(self.now(), msg.0);
+        let was_open = !effects.is_empty();
+        self.apply_effects(effects);
+        was_open
+    }
+}
+
 /// Sets the share of this VM's link bandwidth that requests use, in percent.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
--- a/crates/pimento_fleet/src/fleet.rs
+++ b/crates/pimento_fleet/src/fleet.rs
@@ -20,7 +20,7 @@
 use pimento_broker::Broker;
 use pimento_core::Time;
 use pimento_items::{Catalog, RouteTable};
-use pimento_poison::{Fingerprint, Judge, Verdict};
+use pimento_poison::{Fingerprint, Judge, RecentAnswers, Verdict};
 use pimento_registry::{Registry, Target};
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -94,6 +94,8 @@
     /// The verdicts of `judge` that requests must be compared with.
     pub(crate) open_verdicts: Arc<[(Fingerprint, Verdict)]>,
     pub(crate) crash_reports: CrashReports,
+    /// The requests of this process that targets have answered lately.
+    pub(crate) recent_answers: RecentAnswers,
     /// When this control VM applied its newest revisions of items.
     pub(crate) applied: AppliedRevisions,
     /// Counts the round-robin choices of a control VM.
@@ -137,6 +139,7 @@
             judge: Judge::default(),
             open_verdicts: Arc::default(),
             crash_reports: CrashReports::default(),
+            recent_answers: RecentAnswers::default(),
             applied: AppliedRevisions::default(),
             rotation: 0,
             load: 0,
--- a/crates/pimento_fleet/src/lib.rs
+++ b/crates/pimento_fleet/src/lib.rs
@@ -36,8 +36,8 @@
 mod view;
 
 pub use actor::{
-    AcquirePermit, FleetActor, GetEntries, PoisonReport, ReleasePermit, RequestReport, SetCatalog,
-    SetLoad, TargetReport,
+    AcquirePermit, FleetActor, GetEntries, GetRulings, LiftRefusal, PoisonReport, ReleasePermit,
+    RequestReport, SetCatalog, SetLoad, TargetReport,
 };
 pub use actor::{StartError, UpdateProcess};
 pub use config::FleetConfig;
--- a/crates/pimento_fleet/src/poison.rs
+++ b/crates/pimento_fleet/src/poison.rs
@@ -12,12 +12,13 @@
     message::{Body, CrashReport, Rulings, ruling_from_message, ruling_message},
 };
 use pimento_core::Time;
-use pimento_poison::{Decision, Fingerprint, Ruling};
+use pimento_poison::{Decision, Fingerprint, Ruling, Verdict};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 impl Fleet {
     /// Reports that a target, identified by the hash of its name and incarnation,
-    /// crashed while it had these requests of this VM.
+    /// crashed while it had these requests of this VM. Those that another target
+    /// answered lately are not to blame.
     pub fn report_crash(
         &mut self,
         now: Time,
@@ -25,17 +26,39 @@
         requests: &[Fingerprint],
         age: Duration,
     ) {
-        self.record_crash(now, incarnation, requests, age);
+        let suspects = requests.iter().copied();
+        let suspects = suspects.filter(|r| !self.recent_answers.contains(now, *r));
+        let suspects: Vec<_> = suspects.collect();
+        if suspects.is_empty() {
+            return;
+        }
+        self.record_crash(now, incarnation, &suspects, age);
         let receivers = self.deciding_vms();
         self.crash_reports
-            .start(now, incarnation, requests, now - age, receivers);
+            .start(now, incarnation, &suspects, now - age, receivers);
+    }
+
+    /// Reports that a target answered a request of this VM completely, so that it is
+    /// no poison request.
+    pub fn report_answer(&mut self, now: Time, request: Fingerprint) -> Vec<Effect> {
+        self.recent_answers.record(now, request);
+        let is_open = self.judge.verdict(request).is_some_and(Verdict::is_open);
+        if is_open {
+            self.acquit_request(now, request)
+        } else {
+            Vec::new()
+        }
     }
 
-    /// Reports that a request got its answer from a target, so that it is no poison
-    /// request; or that an operator lifts its refusal.
+    /// Acquits a request, as its answer does or an operator who lifts its refusal.
     pub fn acquit_request(&mut self, now: Time, request: Fingerprint) -> Vec<Effect> {
         let decision = self.judge.acquit(now, request);
-        self.publish_decisions(now, decision.into_iter().collect())
+        self.publish_decisions(now, decision.as_slice())
+    }
+
+    /// The verdicts that this process knows, sorted by request.
+    pub fn rulings(&self, now: Time) -> Vec<Ruling> {
+        self.judge.rulings(now)
     }
 
     /// Reports that a refused request came again, so that it is not forgotten.
@@ -49,7 +72,7 @@
         let due = self.crash_reports.take_due(now);
         let mut effects: Vec<_> = due.into_iter().map(|(to, body)| send(to, body)).collect();
         let decisions = self.judge.decide(now);
-        effects.extend(self.publish_decisions(now, decisions));
+        effects.extend(self.publish_decisions(now, &decisions));
         effects
     }
 
@@ -84,7 +107,7 @@
         let rulings = message.rulings.iter().filter_map(ruling_from_message);
         let rulings: Vec<Ruling> = rulings.collect();
         let news = self.judge.merge(now, &rulings);
-        let mut effects = self.publish_decisions(now, news);
+        let mut effects = self.publish_decisions(now, &news);
         if message.complete {
             let missing = self.judge.missing(now, &rulings);
             if !missing.is_empty() {
@@ -129,14 +152,20 @@
 
     /// Applies decisions here and passes them on: an entry VM to those that decide,
     /// a control VM to its followers.
-    fn publish_decisions(&mut self, now: Time, decisions: Vec<Decision>) -> Vec<Effect> {
+    fn publish_decisions(&mut self, now: Time, decisions: &[Decision]) -> Vec<Effect> {
         if decisions.is_empty() {
             return Vec::new();
         }
         let rulings: Vec<_> = decisions.iter().map(|d| d.ruling).collect();
         let mut effects = self.update_open_verdicts();
         effects.extend(self.push_rulings(now, &rulings));
-        effects.extend(decisions.into_iter().map(Effect::Ruled));
+        effects.extend(decisions.iter().copied().map(Effect::Ruled));
+        let watched = rulings.iter().filter(|r| r.verdict == Verdict::Watched);
+        for ruling in watched {
+            if self.recent_answers.contains(now, ruling.request) {
+                effects.extend(self.acquit_request(now, ruling.request));
+            }
+        }
         effects
     }
 
--- a/crates/pimento_gateway/src/attempt.rs
+++ b/crates/pimento_gateway/src/attempt.rs
@@ -230,23 +230,6 @@
         }
     }
 
-    /// The fingerprint of a request that has run, if the end of its response tells
-    /// something: that it is no poison request, or, if the response is passed on as
-    /// a stream, that its target may have crashed.
-    fn watched_request(
-        &self,
-        inbound: &Inbound,
-        length: Option<u64>,
-        transfer: Transfer,
-        has_run: bool,
-    ) -> Option<Fingerprint> {
-        let is_long = length.is_none_or(|l| l > MAX_BUFFERED_RESPONSE_BYTES as u64);
-        let is_streamed = is_long || transfer == Transfer::Streamed;
-        let request = || inbound.fingerprint(self.header_names);
-        let is_watched = is_streamed || self.inner.verdict(request).is_some();
-        (has_run && is_watched).then(request)
-    }
-
     /// Reads the response and the load report in its headers.
     async fn read(
         &self,
@@ -290,7 +273,7 @@
             target: Arc::clone(self.target),
             connection: Some(connection),
             keep_alive,
-            request: self.watched_request(inbound, length, transfer, has_run),
+            request: has_run.then(|| inbound.fingerprint(self.header_names)),
         };
         // The body of a refusal isn't passed on, it only frees the connection.
         let read_until = if replaced || shed {
@@ -334,7 +317,8 @@
     target: Arc<TargetInfo>,
     connection: Option<Connection>,
     keep_alive: Option<Duration>,
-    /// The request, if the end of the response tells something of it.
+    /// The request, if it has run: the end of the response tells whether it may be
+    /// poison.
     request: Option<Fingerprint>,
 }
 
--- a/crates/pimento_gateway/src/handler.rs
+++ b/crates/pimento_gateway/src/handler.rs
@@ -358,7 +358,6 @@
         /// The maximum number of attempts that break off: each may have ended its
         /// target.
         const MAX_BREAKS: u32 = 2;
-        let may_crash = self.breaks > 0 && self.verdict().is_some();
         let time_left = plan.deadline.saturating_duration_since(Instant::now());
         let is_worthwhile =
             time_left > Duration::from_millis(u64::from(plan.route.objective_ms) / 8);
@@ -366,7 +365,6 @@
             || self.attempts >= plan.route.max_attempts.max(1)
             || self.tried.len() >= MAX_TARGETS_TRIED
             || self.breaks >= MAX_BREAKS
-            || may_crash
         {
             return false;
         }
--- a/crates/pimento_gateway/src/inbound.rs
+++ b/crates/pimento_gateway/src/inbound.rs
@@ -38,7 +38,7 @@
     pub caller_timeout: Option<Duration>,
     pub arrived_at: Instant,
     pub body: InboundBody,
-    /// Hashed only when it is needed.
+    /// Hashed when it is needed first.
     fingerprint: OnceCell<Fingerprint>,
 }
 
--- a/crates/pimento_gateway/src/lib.rs
+++ b/crates/pimento_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod open_requests;
 mod permits;
 mod poison;
+mod poison_calls;
 mod pool;
 mod refusals;
 mod response;
@@ -34,6 +35,7 @@
 
 pub use gateway::{Gateway, GatewayConfig};
 pub use header_names::HeaderNames;
+pub use poison_calls::poison_call;
 pub use response::{BoxError, GatewayResponse, ResponseBody, plain_text, text_response};
 pub use retry_budgets::RetryBudgetConfig;
 pub use server::{ConnectionLimits, serve};
--- a/crates/pimento_gateway/src/poison.rs
+++ b/crates/pimento_gateway/src/poison.rs
@@ -27,10 +27,8 @@
         refusals::poison()
     }
 
-    /// Reports that a target answered a request completely, if that acquits it.
+    /// Reports that a target answered a request completely.
     pub(crate) fn record_answer(&self, request: Fingerprint) {
-        if self.verdict(|| request).is_some() {
-            self.fleet.do_send(PoisonReport::Acquitted(request));
-        }
+        self.fleet.do_send(PoisonReport::Answered(request));
     }
 }
--- a/crates/pimento_poison/src/evidence.rs
+++ b/crates/pimento_poison/src/evidence.rs
@@ -45,7 +45,7 @@
     is_explained: bool,
 }
 
-/// A request that several crashed targets had.
+/// A request that crashed targets had.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Suspect {
     pub request: Fingerprint,
@@ -69,14 +69,9 @@
 }
 
 impl Evidence {
-    /// Records that a target which had a request crashed. Returns when the report
-    /// counts if it is new.
-    pub(crate) fn record(
-        &mut self,
-        incarnation: u64,
-        request: Fingerprint,
-        at: Time,
-    ) -> Option<Time> {
+    /// Records that a target which had a request crashed. Returns whether that is
+    /// new.
+    pub(crate) fn record(&mut self, incarnation: u64, request: Fingerprint, at: Time) -> bool {
         let found = self
             .crashes
             .binary_search_by_key(&incarnation, |c| c.incarnation);
@@ -91,16 +86,17 @@
         });
         let crash = &mut self.crashes[index];
         crash.at = crash.at.min(at);
-        let settles_at = crash.at + SETTLE_TIME;
-        let place = crash.requests.binary_search(&request).err()?;
+        let Err(place) = crash.requests.binary_search(&request) else {
+            return false;
+        };
         if crash.requests.len() >= MAX_REQUESTS {
-            return None;
+            return false;
         }
         crash.requests.insert(place, request);
         if self.crashes.len() > MAX_CRASHES {
             self.evict();
         }
-        Some(settles_at)
+        true
     }
 
     /// Forgets what speaks against a request.
@@ -130,7 +126,7 @@
         times.filter(|at| *at > now).min()
     }
 
-    /// The requests that at least two crashed targets had.
+    /// The requests that crashed targets had.
     pub(crate) fn suspects(&self, now: Time) -> Vec<Suspect> {
         let counts = self.counts();
         let moments = self.moments(&counts);
@@ -146,13 +142,12 @@
             }
         }
         let all = counts.into_iter().zip(blames);
-        let repeated = all.filter(|((_, crashes), _)| *crashes >= 2);
         let suspect = |((request, crashes), blame)| Suspect {
             request,
             crashes,
             blame,
         };
-        repeated.map(suspect).collect()
+        all.map(suspect).collect()
     }
 
     /// The number of crashes of each request, sorted by request.
--- a/crates/pimento_poison/src/lib.rs
+++ b/crates/pimento_poison/src/lib.rs
@@ -9,8 +9,10 @@
 mod evidence;
 mod fingerprint;
 mod judge;
+mod recent_answers;
 mod verdicts;
 
 pub use fingerprint::Fingerprint;
 pub use judge::{Decision, Judge};
+pub use recent_answers::RecentAnswers;
 pub use verdicts::{Ruling, Verdict};
--- a/crates/pimento_poison/src/verdicts.rs
+++ b/crates/pimento_poison/src/verdicts.rs
@@ -12,13 +12,25 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_mins(1);
 /// The maximum number of verdicts that are remembered.
 const MAX_VERDICTS: usize = 512;
+/// The number of verdicts from which on there is room for serious suspects only.
+const LITTLE_ROOM_VERDICTS: usize = MAX_VERDICTS / 2;
+
+/// How much room there is for verdicts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Room {
+    /// For all suspects.
+    Enough,
+    /// For requests that met several crashes.
+    Little,
+    /// Another verdict must be forgotten.
+    None,
+}
 
 /// What is decided of a request, in the order in which concurrent verdicts prevail.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 #[repr(u8)]
 pub enum Verdict {
-    /// Several crashed targets had it: an answer acquits it, and one attempt of its
-    /// caller gets no retry.
+    /// A crashed target had it; an answer acquits it.
     Watched = 1,
     /// It crashes targets and is sent to none.
     Refused = 2,
@@ -118,6 +130,20 @@
         self.find(request).ok().map(|i| self.entries[i].verdict)
     }
 
+    /// How much room there is without forgetting a verdict.
+    pub(crate) const fn room(&self) -> Room {
+        match self.entries.len() {
+            0..LITTLE_ROOM_VERDICTS => Room::Enough,
+            LITTLE_ROOM_VERDICTS..MAX_VERDICTS => Room::Little,
+            _ => Room::None,
+        }
+    }
+
+    /// When the verdict on a request was made.
+    pub(crate) fn decided_at(&self, request: Fingerprint) -> Option<Time> {
+        self.find(request).ok().map(|i| self.entries[i].decided_at)
+    }
+
     pub(crate) const fn digest(&self) -> u64 {
         self.digest
     }
