Crashes without suspects count where many targets crash together

Found in the read of the whole change: since requests that were answered lately are not reported, a VM reported no crash at all of a target that had only such requests. A request that crashed targets have together with few others then lacks what excuses it: the other targets that crashed at the same moment. A crash is now reported and recorded also without a suspect. pimento_poison::blame::crashes_without_suspects_excuse.

The fleet actor's messages about poison requests have a file of their own.

--- a/crates/pimento_fleet/src/lib.rs
+++ b/crates/pimento_fleet/src/lib.rs
@@ -23,6 +23,7 @@
 mod pending_requests;
 mod permits;
 mod poison;
+mod poison_messages;
 mod propagation;
 mod receive;
 mod reports;
@@ -36,8 +37,8 @@
 mod view;
 
 pub use actor::{
-    AcquirePermit, FleetActor, GetEntries, GetRulings, LiftRefusal, PoisonReport, ReleasePermit,
-    RequestReport, SetCatalog, SetLoad, TargetReport,
+    AcquirePermit, FleetActor, GetEntries, ReleasePermit, RequestReport, SetCatalog, SetLoad,
+    TargetReport,
 };
 pub use actor::{StartError, UpdateProcess};
 pub use config::FleetConfig;
@@ -45,5 +46,6 @@
 pub use fleet::Fleet;
 pub use members::Node;
 pub use message::{NodeInfo, Role, Stage};
+pub use poison_messages::{GetRulings, LiftRefusal, PoisonReport};
 pub use routable::{RoutableTargets, TargetInfo};
 pub use view::{RoutingView, SharedView};
--- a/crates/pimento_fleet/src/poison.rs
+++ b/crates/pimento_fleet/src/poison.rs
@@ -29,9 +29,6 @@
         let suspects = requests.iter().copied();
         let suspects = suspects.filter(|r| !self.recent_answers.contains(now, *r));
         let suspects: Vec<_> = suspects.collect();
-        if suspects.is_empty() {
-            return;
-        }
         self.record_crash(now, incarnation, &suspects, age);
         let receivers = self.deciding_vms();
         self.crash_reports
@@ -136,6 +133,7 @@
         requests: &[Fingerprint],
         age: Duration,
     ) {
+        self.judge.record_end(now, incarnation, age);
         for request in requests {
             self.judge.record_crash(now, incarnation, *request, age);
         }
--- a/crates/pimento_poison/src/evidence.rs
+++ b/crates/pimento_poison/src/evidence.rs
@@ -30,7 +30,7 @@
 
 /// A crash of one incarnation of a target.
 #[derive(Clone, Debug)]
-struct Crash {
+pub(crate) struct Crash {
     /// The hash of the target's name and incarnation.
     incarnation: u64,
     at: Time,
@@ -60,8 +60,8 @@
 /// The blame for a crash goes to those of its requests that met the most crashes,
 /// in equal parts: what only ran beside the cause met fewer. Where many targets crash
 /// together, as by a loss of power, a request is blamed only if most of them had it
-/// or another one explains the rest. The order in
-/// which reports arrive makes no difference, so all VMs with the same reports agree.
+/// or another one explains the rest. The order in which reports arrive makes no
+/// difference, so all VMs with the same reports agree.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Evidence {
     /// Sorted by incarnation.
@@ -72,10 +72,24 @@
     /// Records that a target which had a request crashed. Returns whether that is
     /// new.
     pub(crate) fn record(&mut self, incarnation: u64, request: Fingerprint, at: Time) -> bool {
-        let found = self
-            .crashes
-            .binary_search_by_key(&incarnation, |c| c.incarnation);
-        let index = found.unwrap_or_else(|i| {
+        let crash = self.record_crash(incarnation, at);
+        let Err(place) = crash.requests.binary_search(&request) else {
+            return false;
+        };
+        if crash.requests.len() >= MAX_REQUESTS {
+            return false;
+        }
+        crash.requests.insert(place, request);
+        true
+    }
+
+    /// Records that a target crashed, whichever requests it had.
+    pub(crate) fn record_crash(&mut self, incarnation: u64, at: Time) -> &mut Crash {
+        let is_known = self.find(incarnation).is_ok();
+        if !is_known && self.crashes.len() >= MAX_CRASHES {
+            self.evict();
+        }
+        let index = self.find(incarnation).unwrap_or_else(|i| {
             let crash = Crash {
                 incarnation,
                 at,
@@ -86,17 +100,12 @@
         });
         let crash = &mut self.crashes[index];
         crash.at = crash.at.min(at);
-        let Err(place) = crash.requests.binary_search(&request) else {
-            return false;
-        };
-        if crash.requests.len() >= MAX_REQUESTS {
-            return false;
-        }
-        crash.requests.insert(place, request);
-        if self.crashes.len() > MAX_CRASHES {
-            self.evict();
-        }
-        true
+        crash
+    }
+
+    fn find(&self, incarnation: u64) -> Result<usize, usize> {
+        self.crashes
+            .binary_search_by_key(&incarnation, |c| c.incarnation)
     }
 
     /// Forgets what speaks against a request.
--- a/crates/pimento_poison/src/judge.rs
+++ b/crates/pimento_poison/src/judge.rs
@@ -39,6 +39,13 @@
 }
 
 impl Judge {
+    /// Records that a target crashed `age` ago, whichever requests it had: that many
+    /// crash together speaks for all of them. `incarnation` is the hash of the
+    /// target's name and incarnation.
+    pub fn record_end(&mut self, now: Time, incarnation: u64, age: Duration) {
+        self.evidence.record_crash(incarnation, now - age);
+    }
+
     /// Records that a target which had a request crashed `age` ago. `incarnation`
     /// is the hash of the target's name and incarnation.
     pub fn record_crash(
--- a/crates/pimento_poison/tests/blame.rs
+++ b/crates/pimento_poison/tests/blame.rs
@@ -101,6 +101,21 @@
     assert_ne!(verdict(&judge, 1), Some(Verdict::Refused));
 }
 
+#[test]
+fn crashes_without_suspects_excuse() {
+    let mut judge = Judge::default();
+    for event in 0..4 {
+        let first = event * 10;
+        crash(&mut judge, at(event), first, &[1]);
+        // All that the others had was answered lately.
+        for other in 1..6 {
+            judge.record_end(at(event), first + other, Duration::ZERO);
+        }
+    }
+    decide_all(&mut judge, at(9));
+    assert_ne!(verdict(&judge, 1), Some(Verdict::Refused));
+}
+
 #[test]
 fn two_poison_requests_are_both_refused() {
     let mut judge = Judge::default();
