--- /dev/null
+++ b/review/standin-2/clients.rs
@@ -0,0 +1,112 @@
+//! Stand-ins of clients.
+
+use crate::{
+    http::Connection,
+    now_ms,
+    world::{Record, note},
+};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+/// One request as its client saw it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub id: String,
+    pub entry: usize,
+    pub sent_at: u64,
+    pub ended_at: u64,
+    /// The status; 0 if the connection ended or couldn't be opened.
+    pub status: u16,
+    /// Whether the answer said that its server leaves, and which one that is.
+    pub leaving: Option<String>,
+    pub has_stamp: bool,
+}
+
+/// What all requests of a kind have in common.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    pub line: &'static str,
+    pub body: &'static str,
+    pub deadline_ms: u64,
+}
+
+/// The clients of a case.
+#[derive(Default)]
+pub struct Clients {
+    pub calls: Arc<Mutex<Vec<Call>>>,
+    last_id: AtomicU64,
+    threads: Mutex<Vec<JoinHandle<()>>>,
+}
+
+impl Clients {
+    /// Sends one request on a connection of its own, in the background.
+    pub fn send(&self, record: &Record, entry: usize, to: SocketAddr, kind: &Kind) {
+        let id = format!("{:016x}", 0x9c41_0000 + self.last_id.fetch_add(1, Ordering::SeqCst));
+        let (calls, record, kind) = (Arc::clone(&self.calls), Arc::clone(record), kind.clone());
+        let thread = thread::spawn(move || {
+            let sent_at = now_ms();
+            note(&record, &format!("sent {id} {} to entry-{entry}", kind.line));
+            let head = format!(
+                "{} HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\n",
+                kind.line, kind.deadline_ms
+            );
+            let timeout = Duration::from_millis(kind.deadline_ms + 500);
+            let response = Connection::open(to, timeout).ok();
+            let response = response.and_then(|mut c| c.call(&head, kind.body.as_bytes()));
+            let status = response.as_ref().map_or(0, |r| r.status());
+            let stamp = response.as_ref().and_then(|r| r.header("server-stamp"));
+            let is_leaving = response.as_ref().is_some_and(|r| r.header("server-leaving").is_some());
+            let server = stamp.and_then(|s| s.split('.').next()).map(str::to_owned);
+            let leaving = server.filter(|_| is_leaving);
+            let text = match &leaving {
+                Some(server) => format!("answered {id} {status} Server-Leaving of {server}"),
+                None => format!("answered {id} {status}"),
+            };
+            note(&record, &text);
+            calls.lock().unwrap().push(Call {
+                id,
+                entry,
+                sent_at,
+                ended_at: now_ms(),
+                status,
+                leaving,
+                has_stamp: stamp.is_some(),
+            });
+        });
+        self.threads.lock().unwrap().push(thread);
+    }
+
+    /// Sends requests at an even pace to all entry nodes in turn.
+    pub fn pace(
+        &self,
+        record: &Record,
+        entries: &[SocketAddr],
+        kind: &Kind,
+        per_second: u64,
+        span: Duration,
+    ) {
+        let gap = Duration::from_micros(1_000_000 / per_second);
+        let count = (span.as_micros() / gap.as_micros()) as usize;
+        for i in 0..count {
+            let entry = i % entries.len();
+            self.send(record, entry, entries[entry], kind);
+            thread::sleep(gap);
+        }
+    }
+
+    /// Waits for all answers.
+    pub fn finish(&self) -> Vec<Call> {
+        let threads = std::mem::take(&mut *self.threads.lock().unwrap());
+        for thread in threads {
+            thread.join().unwrap_or_default();
+        }
+        self.calls.lock().unwrap().clone()
+    }
+}
