--- a/review/standin-2/leaving.rs
+++ b/review/standin-2/leaving.rs
@@ -3,7 +3,7 @@
 use crate::{
     Case, Verdict,
     clients::{Call, Clients, Kind},
-    world::World,
+    world::{ServerKind, World, ZONES},
 };
 use std::{thread, time::Duration};
 
@@ -20,19 +20,27 @@
     let Some(mut world) = World::start(&case.kit, 2) else {
         return Verdict::NotRun("the deployment didn't start".into());
     };
-    world.start_server(LEAVER, "signdesk", 31, WORK_MS, 0);
-    world.start_server(OTHER, "signdesk", 32, WORK_MS, 0);
+    let leaver = ServerKind {
+        service: "signdesk",
+        zone: ZONES[0],
+        host: 31,
+        work_ms: WORK_MS,
+        delay_ms: 0,
+        cold_ms: 0,
+    };
+    world.start_server(LEAVER, &leaver);
+    world.start_server(OTHER, &ServerKind { zone: ZONES[1], host: 32, ..leaver });
     if !world.wait_ready() {
         return Verdict::NotRun("the entry nodes don't get ready".into());
     }
     thread::sleep(Duration::from_secs(5));
     if case.trouble {
         world.crash(LEAVER);
-        world.start_server(LEAVER, "signdesk", 31, WORK_MS, BEAT_DELAY_MS);
+        world.start_server(LEAVER, &ServerKind { delay_ms: BEAT_DELAY_MS, ..leaver });
         thread::sleep(Duration::from_millis(200));
     }
     let clients = Clients::default();
-    let kind = Kind { line: "POST /sign/shift", body: "slot=17", deadline_ms: 4_000 };
+    let kind = Kind { line: "POST /sign/shift", body: "slot=17", deadline_ms: 4_000, retries: false };
     let (record, entries) = (world.record.clone(), world.entries.clone());
     let pace = |span: u64| {
         clients.pace(&record, &entries, &kind, 16, Duration::from_millis(span));
--- a/review/standin-2/poison.rs
+++ b/review/standin-2/poison.rs
@@ -1,50 +1,69 @@
-//! Three of twenty servers crash, soon after clients began to ask for a new page.
+//! The servers of one zone crash once, while three clients there wait for the same page.
 
 use crate::{
     Case, Verdict,
     clients::{Clients, Kind},
-    world::World,
+    world::{ServerKind, World, ZONES},
 };
 use std::{thread, time::Duration};
 
-const SERVERS: u8 = 20;
-/// The share of a service's servers that crash: 0.15.
-const CRASHED: u8 = 3;
-/// Between the mean and the most work of the site's requests of this service.
-const WORK_MS: u64 = 5_000;
+/// The servers of each zone.
+const PER_ZONE: u8 = 3;
+/// Below the most work of the site's requests of this service, 7,680 ms.
+const WORK_MS: u64 = 7_500;
+/// How often the clients ask for the page.
+const ROUND: Duration = Duration::from_millis(18_500);
+const ROUNDS: u64 = 5;
+/// How long the requests run when the servers crash: a second run can't end within
+/// what is left of the clients' time.
+const CRASH_AFTER: Duration = Duration::from_millis(5_500);
 /// How long the crashed servers are down.
 const DOWN: Duration = Duration::from_millis(4_500);
+/// `coldStart` of the service.
+const COLD_MS: u64 = 3_000;
 
 pub fn run(case: &Case) -> Verdict {
     let Some(mut world) = World::start(&case.kit, 2) else {
         return Verdict::NotRun("the deployment didn't start".into());
     };
-    for i in 0..SERVERS {
-        world.start_server(&format!("i-{i:02}"), "rosterbook", 31 + i, WORK_MS, 0);
+    let server = |i: u8| ServerKind {
+        service: "rosterbook",
+        zone: ZONES[usize::from(i / PER_ZONE)],
+        host: 31 + i,
+        work_ms: WORK_MS,
+        delay_ms: 0,
+        cold_ms: 0,
+    };
+    let name = |i: u8| format!("i-{i:02}");
+    for i in 0..PER_ZONE * ZONES.len() as u8 {
+        world.start_server(&name(i), &server(i));
     }
     if !world.wait_ready() {
         return Verdict::NotRun("the entry nodes don't get ready".into());
     }
-    thread::sleep(Duration::from_secs(5));
+    thread::sleep(Duration::from_secs(4));
     let clients = Clients::default();
-    let kind = Kind { line: "GET /roster/today", body: "", deadline_ms: 12_000 };
-    let (record, entries) = (world.record.clone(), world.entries.clone());
-    let pace = |per_second: u64, span: u64| {
-        clients.pace(&record, &entries, &kind, per_second, Duration::from_millis(span));
-    };
-    pace(20, 2_000);
-    if case.trouble {
-        for i in 0..CRASHED {
-            world.crash(&format!("i-{i:02}"));
+    let page = Kind { line: "GET /roster/depot-7", body: "", deadline_ms: 12_000, retries: true };
+    let (record, entry) = (world.record.clone(), world.entries[0]);
+    for round in 0..ROUNDS {
+        for _ in 0..PER_ZONE {
+            clients.send(&record, 0, entry, &page);
+            thread::sleep(Duration::from_millis(20));
         }
-    }
-    pace(20, DOWN.as_millis() as u64);
-    if case.trouble {
-        for i in 0..CRASHED {
-            world.start_server(&format!("i-{i:02}"), "rosterbook", 31 + i, WORK_MS, 0);
+        let mut rest = ROUND;
+        if case.trouble && round == 1 {
+            thread::sleep(CRASH_AFTER);
+            for i in 0..PER_ZONE {
+                world.crash(&name(i));
+            }
+            thread::sleep(DOWN);
+            for i in 0..PER_ZONE {
+                world.start_server(&name(i), &ServerKind { cold_ms: COLD_MS, ..server(i) });
+            }
+            rest -= CRASH_AFTER + DOWN;
         }
+        thread::sleep(rest);
     }
-    pace(20, 4_000);
     let calls = clients.finish();
     let denied = calls.iter().filter(|c| (300..500).contains(&c.status) && !c.has_stamp);
     let denied = denied.filter(|c| ![408, 421, 429].contains(&c.status)).count();
--- a/review/standin-2/upstream.rs
+++ b/review/standin-2/upstream.rs
@@ -35,6 +35,8 @@
     controls: Vec<SocketAddr>,
     beat: String,
     born: u64,
+    /// How long it is cold after its start, in milliseconds.
+    cold_ms: u64,
     seq: AtomicU64,
     running: AtomicU64,
     leaving: AtomicBool,
@@ -54,6 +56,7 @@
         controls: controls.split(',').map(|c| c.parse().expect("an address")).collect(),
         beat: std::fs::read_to_string(args.text("beat")).expect("the body of a heartbeat"),
         born: now_ms(),
+        cold_ms: args.number("cold"),
         seq: AtomicU64::new(0),
         running: AtomicU64::new(0),
         leaving: AtomicBool::new(false),
@@ -151,7 +154,7 @@
             .replace("@SLOTS@", &self.slots.to_string())
             .replace("@STATE@", state)
             .replace("@SEQ@", &seq.to_string())
-            .replace("@COLD@", "0");
+            .replace("@COLD@", &(self.born + self.cold_ms).saturating_sub(now_ms()).to_string());
         let head = format!("PUT /api/instances/{} HTTP/1.1\r\nContent-Type: application/json\r\n", self.id);
         self.tell(head, body, format!("{state} {seq}"));
     }
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -14,7 +14,8 @@
 };
 
 pub const CONTROLS: usize = 3;
-const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+const REGIONS: [&str; 3] = ["north", "south", "west"];
 
 /// What was sent, answered and run, in order of arrival here: (time, text).
 pub type Record = Arc<Mutex<Vec<(u64, String)>>>;
@@ -30,6 +31,20 @@
     servers: Vec<Server>,
 }
 
+/// What a server is started with.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerKind {
+    pub service: &'static str,
+    pub zone: &'static str,
+    /// The last part of its address.
+    pub host: u8,
+    pub work_ms: u64,
+    /// How late its heartbeats arrive.
+    pub delay_ms: u64,
+    /// How long it is cold after its start.
+    pub cold_ms: u64,
+}
+
 /// A stand-in of a server, in a process of its own.
 struct Server {
     id: String,
@@ -113,6 +128,7 @@
             .replace("@SERVES@", if is_control { "[\"control\",\"directory\"]" } else { "[\"front\"]" })
             .replace("@IP@", &ip.to_string())
             .replace("@ZONE@", ZONES[i % ZONES.len()])
+            .replace("@REGION@", REGIONS[i % REGIONS.len()])
             .replace("@COUNTED@", if is_control { "true" } else { "false" })
             .replace("@BOOTSTRAP@", "true")
             .replace("@DATA@", data)
@@ -152,15 +168,16 @@
     }
 
     /// Starts a server. One of the same id takes the place of the earlier one.
-    pub fn start_server(&mut self, id: &str, service: &str, host: u8, work_ms: u64, delay_ms: u64) {
+    pub fn start_server(&mut self, id: &str, kind: &ServerKind) {
+        let ServerKind { service, zone, host, work_ms, delay_ms, cold_ms } = *kind;
         let address = self.address(host, 8_080);
-        let zone = ZONES[usize::from(host) % ZONES.len()];
         let controls: Vec<String> = self.controls.iter().map(ToString::to_string).collect();
         let mut child = Command::new(std::env::current_exe().expect("this program"))
             .arg("upstream")
             .args(["--id", id, "--address", &address.to_string(), "--service", service])
             .args(["--zone", zone, "--slots", "6", "--work", &work_ms.to_string()])
-            .args(["--delay", &delay_ms.to_string(), "--controls", &controls.join(",")])
+            .args(["--delay", &delay_ms.to_string(), "--cold", &cold_ms.to_string()])
+            .args(["--controls", &controls.join(",")])
             .args(["--beat", &self.kit.join("beat.json").to_string_lossy()])
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
