--- a/review/standin-2/args.rs
+++ b/review/standin-2/args.rs
@@ -10,7 +10,8 @@
     }
 
     pub fn text(&self, name: &str) -> String {
-        self.get(name).unwrap_or_else(|| panic!("--{name} is missing"))
+        self.get(name)
+            .unwrap_or_else(|| panic!("--{name} is missing"))
     }
 
     pub fn number(&self, name: &str) -> u64 {
--- a/review/standin-2/clients.rs
+++ b/review/standin-2/clients.rs
@@ -34,7 +34,7 @@
 #[derive(Clone, Debug)]
 pub struct Kind {
     pub line: &'static str,
-    pub body: &'static str,
+    pub body: Arc<[u8]>,
     pub deadline_ms: u64,
     /// Whether clients send it once more after a failure.
     pub retries: bool,
@@ -61,13 +61,17 @@
         kind.line
     );
     let response = Connection::open(to, Duration::from_millis(left_ms + 500)).ok();
-    let response = response.and_then(|mut c| c.call(&head, kind.body.as_bytes()));
+    let response = response.and_then(|mut c| c.call(&head, &kind.body));
     let status = response.as_ref().map_or(0, |r| r.status());
     let header = |name: &str| response.as_ref().and_then(|r| r.header(name));
-    let server = header("server-stamp").and_then(|s| s.split('.').next()).map(str::to_owned);
+    let server = header("server-stamp")
+        .and_then(|s| s.split('.').next())
+        .map(str::to_owned);
     let has_stamp = server.is_some();
     let leaving = server.filter(|_| header("server-leaving").is_some());
-    let retry_after: f64 = header("retry-after").and_then(|t| t.parse().ok()).unwrap_or(0.0);
+    let retry_after: f64 = header("retry-after")
+        .and_then(|t| t.parse().ok())
+        .unwrap_or(0.0);
     let text = match &leaving {
         Some(server) => format!("answered {id} {status} Server-Leaving of {server}"),
         None => format!("answered {id} {status}"),
@@ -96,7 +100,10 @@
 impl Clients {
     /// Sends one request in the background, and repeats it if its kind allows that.
     pub fn send(&self, record: &Record, entry: usize, to: SocketAddr, kind: &Kind) {
-        let id = format!("{:016x}", 0x9c41_0000 + self.last_id.fetch_add(1, Ordering::SeqCst));
+        let id = format!(
+            "{:016x}",
+            0x9c41_0000 + self.last_id.fetch_add(1, Ordering::SeqCst)
+        );
         let (calls, record, kind) = (Arc::clone(&self.calls), Arc::clone(record), kind.clone());
         let thread = thread::spawn(move || {
             let first = attempt(&record, id.clone(), entry, to, &kind, kind.deadline_ms);
--- a/review/standin-2/leaving.rs
+++ b/review/standin-2/leaving.rs
@@ -17,7 +17,7 @@
 const OTHER: &str = "i-2b60d4aa";
 
 pub fn run(case: &Case) -> Verdict {
-    let Some(mut world) = World::start(&case.kit, 2) else {
+    let Some(mut world) = World::start(&case.kit, &[0, 1]) else {
         return Verdict::NotRun("the deployment didn't start".into());
     };
     let leaver = ServerKind {
@@ -27,20 +27,39 @@
         work_ms: WORK_MS,
         delay_ms: 0,
         cold_ms: 0,
+        limit: None,
     };
     world.start_server(LEAVER, &leaver);
-    world.start_server(OTHER, &ServerKind { zone: ZONES[1], host: 32, ..leaver });
+    world.start_server(
+        OTHER,
+        &ServerKind {
+            zone: ZONES[1],
+            host: 32,
+            ..leaver
+        },
+    );
     if !world.wait_ready() {
         return Verdict::NotRun("the entry nodes don't get ready".into());
     }
     thread::sleep(Duration::from_secs(5));
     if case.trouble {
         world.crash(LEAVER);
-        world.start_server(LEAVER, &ServerKind { delay_ms: BEAT_DELAY_MS, ..leaver });
+        world.start_server(
+            LEAVER,
+            &ServerKind {
+                delay_ms: BEAT_DELAY_MS,
+                ..leaver
+            },
+        );
         thread::sleep(Duration::from_millis(200));
     }
     let clients = Clients::default();
-    let kind = Kind { line: "POST /sign/shift", body: "slot=17", deadline_ms: 4_000, retries: false };
+    let kind = Kind {
+        line: "POST /sign/shift",
+        body: b"slot=17".as_slice().into(),
+        deadline_ms: 4_000,
+        retries: false,
+    };
     let (record, entries) = (world.record.clone(), world.entries.clone());
     let pace = |span: u64| {
         clients.pace(&record, &entries, &kind, 16, Duration::from_millis(span));
@@ -77,7 +96,10 @@
             continue;
         };
         known += 1;
-        let after: Vec<_> = own.filter(|c| c.sent_at > first + DRAIN_MS).filter(arrived).collect();
+        let after: Vec<_> = own
+            .filter(|c| c.sent_at > first + DRAIN_MS)
+            .filter(arrived)
+            .collect();
         late += after.len();
         unanswered += after.iter().filter(|c| !c.has_stamp).count();
     }
@@ -89,5 +111,9 @@
          after the same entry node had passed on its Server-Leaving; {unanswered} of them got no \
          answer of the server"
     );
-    if late > 0 { Verdict::Broken(text) } else { Verdict::Held(text) }
+    if late > 0 {
+        Verdict::Broken(text)
+    } else {
+        Verdict::Held(text)
+    }
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,9 +4,11 @@
 //! 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
 mod args;
+mod bodies;
 mod clients;
 mod http;
 mod leaving;
+mod limit;
 mod poison;
 mod upstream;
 mod world;
@@ -35,6 +37,12 @@
     since.map_or(0, |d| d.as_millis() as u64)
 }
 
+/// A checksum of a body (FNV-1a).
+pub fn checksum(body: &[u8]) -> u64 {
+    let step = |sum: u64, byte: &u8| (sum ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+    body.iter().fold(0xcbf2_9ce4_8422_2325, step)
+}
+
 fn main() {
     let mut words = std::env::args().skip(1);
     let name = words.next().unwrap_or_default();
@@ -48,7 +56,9 @@
         trouble: args.get("trouble").as_deref() != Some("0"),
     };
     let verdict = match name.as_str() {
+        "bodies" => bodies::run(&case),
         "leaving" => leaving::run(&case),
+        "limit" => limit::run(&case),
         "poison" => poison::run(&case),
         _ => Verdict::NotRun(format!("there is no case {name:?}")),
     };
--- a/review/standin-2/poison.rs
+++ b/review/standin-2/poison.rs
@@ -23,7 +23,7 @@
 const COLD_MS: u64 = 3_000;
 
 pub fn run(case: &Case) -> Verdict {
-    let Some(mut world) = World::start(&case.kit, 2) else {
+    let Some(mut world) = World::start(&case.kit, &[0, 1]) else {
         return Verdict::NotRun("the deployment didn't start".into());
     };
     let server = |i: u8| ServerKind {
@@ -33,6 +33,7 @@
         work_ms: WORK_MS,
         delay_ms: 0,
         cold_ms: 0,
+        limit: None,
     };
     let name = |i: u8| format!("i-{i:02}");
     for i in 0..PER_ZONE * ZONES.len() as u8 {
@@ -43,7 +44,12 @@
     }
     thread::sleep(Duration::from_secs(4));
     let clients = Clients::default();
-    let page = Kind { line: "GET /roster/depot-7", body: "", deadline_ms: 12_000, retries: true };
+    let page = Kind {
+        line: "GET /roster/depot-7",
+        body: [].into(),
+        deadline_ms: 12_000,
+        retries: true,
+    };
     let (record, entry) = (world.record.clone(), world.entries[0]);
     for round in 0..ROUNDS {
         for _ in 0..PER_ZONE {
@@ -58,15 +64,25 @@
             }
             thread::sleep(DOWN);
             for i in 0..PER_ZONE {
-                world.start_server(&name(i), &ServerKind { cold_ms: COLD_MS, ..server(i) });
+                world.start_server(
+                    &name(i),
+                    &ServerKind {
+                        cold_ms: COLD_MS,
+                        ..server(i)
+                    },
+                );
             }
             rest -= CRASH_AFTER + DOWN;
         }
         thread::sleep(rest);
     }
     let calls = clients.finish();
-    let denied = calls.iter().filter(|c| (300..500).contains(&c.status) && !c.has_stamp);
-    let denied = denied.filter(|c| ![408, 421, 429].contains(&c.status)).count();
+    let denied = calls
+        .iter()
+        .filter(|c| (300..500).contains(&c.status) && !c.has_stamp);
+    let denied = denied
+        .filter(|c| ![408, 421, 429].contains(&c.status))
+        .count();
     let allowed = 5 + calls.len() / 500;
     let good = calls.iter().filter(|c| c.status == 200).count();
     let text = format!(
--- a/review/standin-2/upstream.rs
+++ b/review/standin-2/upstream.rs
@@ -4,7 +4,7 @@
 //! `leave`, `delete` and `quit` of its standard input. Each event is a line on its
 //! standard output, with the time in milliseconds since the Unix epoch.
 
-use crate::{args::Args, http, now_ms};
+use crate::{args::Args, checksum, http, now_ms};
 use std::{
     io::{BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
@@ -29,6 +29,8 @@
     service: String,
     zone: String,
     slots: u64,
+    /// The `Server-Limit` that it names, if any.
+    limit: Option<String>,
     work: Duration,
     /// How long its heartbeats take to arrive.
     delay: Duration,
@@ -51,9 +53,13 @@
         service: args.text("service"),
         zone: args.text("zone"),
         slots: args.number("slots"),
+        limit: args.get("limit"),
         work: millis("work"),
         delay: millis("delay"),
-        controls: controls.split(',').map(|c| c.parse().expect("an address")).collect(),
+        controls: controls
+            .split(',')
+            .map(|c| c.parse().expect("an address"))
+            .collect(),
         beat: std::fs::read_to_string(args.text("beat")).expect("the body of a heartbeat"),
         born: now_ms(),
         cold_ms: args.number("cold"),
@@ -93,10 +99,14 @@
 impl Server {
     fn serve(&self, tcp: TcpStream) {
         tcp.set_nodelay(true).unwrap_or_default();
-        let Ok(mut writer) = tcp.try_clone() else { return };
+        let Ok(mut writer) = tcp.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(tcp);
         while let Some(request) = http::read(&mut reader) {
-            let Some(response) = self.answer(&request) else { return };
+            let Some(response) = self.answer(&request) else {
+                return;
+            };
             if writer.write_all(response.as_bytes()).is_err() {
                 return;
             }
@@ -110,30 +120,54 @@
         let load = |running: u64| format!("Server-Load: {running},0,{}\r\n", self.slots);
         let leaving = self.leaving.load(Ordering::SeqCst);
         if request.first.starts_with("GET /health ") {
-            let status = if leaving { "503 Service Unavailable" } else { "200 OK" };
+            let status = if leaving {
+                "503 Service Unavailable"
+            } else {
+                "200 OK"
+            };
             return Some(format!(
                 "HTTP/1.1 {status}\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
                 self.id
             ));
         }
         let id = request.header("request-id")?;
-        if request.header("expect-instance").is_some_and(|e| e != self.id) {
+        if request
+            .header("expect-instance")
+            .is_some_and(|e| e != self.id)
+        {
             return Some(format!(
                 "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {id}\r\nNot-Run: 1\r\n\
                  Content-Length: 0\r\n\r\n"
             ));
         }
         let line = request.first.split(' ').nth(1).unwrap_or_default();
-        say(&format!("runs {} {id} {line}", self.id));
+        let (bytes, sum) = (request.body.len(), checksum(&request.body));
+        say(&format!(
+            "runs {} {id} {line} {bytes} bytes {sum:016x}",
+            self.id
+        ));
         let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
         thread::sleep(self.work);
         self.running.fetch_sub(1, Ordering::SeqCst);
         let leaving = self.leaving.load(Ordering::SeqCst);
-        let leaving_header = if leaving { "Server-Leaving: 1\r\nConnection: close\r\n" } else { "" };
-        say(&format!("ran {} {id}{}", self.id, if leaving { " leaving" } else { "" }));
+        let leaving_header = if leaving {
+            "Server-Leaving: 1\r\nConnection: close\r\n"
+        } else {
+            ""
+        };
+        say(&format!(
+            "ran {} {id}{}",
+            self.id,
+            if leaving { " leaving" } else { "" }
+        ));
+        let limit = self
+            .limit
+            .as_ref()
+            .map(|l| format!("Server-Limit: {l}\r\n"));
+        let limit = limit.unwrap_or_default();
         let body = format!("{} {id}\n", self.id);
         Some(format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: {}.{id}\r\n{}{leaving_header}\
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: {}.{id}\r\n{}{leaving_header}{limit}\
              Keep-Alive: timeout=10\r\nContent-Length: {}\r\n\r\n{body}",
             self.id,
             load(running),
@@ -143,7 +177,11 @@
 
     /// Sends a heartbeat with the state of this moment.
     fn beat(&self) {
-        let state = if self.leaving.load(Ordering::SeqCst) { "draining" } else { "ready" };
+        let state = if self.leaving.load(Ordering::SeqCst) {
+            "draining"
+        } else {
+            "ready"
+        };
         let seq = self.seq.fetch_add(1, Ordering::SeqCst) + 1;
         let body = self
             .beat
@@ -154,14 +192,29 @@
             .replace("@SLOTS@", &self.slots.to_string())
             .replace("@STATE@", state)
             .replace("@SEQ@", &seq.to_string())
-            .replace("@COLD@", &(self.born + self.cold_ms).saturating_sub(now_ms()).to_string());
-        let head = format!("PUT /api/instances/{} HTTP/1.1\r\nContent-Type: application/json\r\n", self.id);
+            .replace(
+                "@COLD@",
+                &(self.born + self.cold_ms)
+                    .saturating_sub(now_ms())
+                    .to_string(),
+            );
+        let head = format!(
+            "PUT /api/instances/{} HTTP/1.1\r\nContent-Type: application/json\r\n",
+            self.id
+        );
         self.tell(head, body, format!("{state} {seq}"));
     }
 
     fn delete(&self) {
-        let head = format!("DELETE /api/instances/{} HTTP/1.1\r\nContent-Type: application/json\r\n", self.id);
-        self.tell(head, format!("{{\"born\":{}}}", self.born), "gone".to_owned());
+        let head = format!(
+            "DELETE /api/instances/{} HTTP/1.1\r\nContent-Type: application/json\r\n",
+            self.id
+        );
+        self.tell(
+            head,
+            format!("{{\"born\":{}}}", self.born),
+            "gone".to_owned(),
+        );
     }
 
     /// Calls one node after the other until one answers within a second. Each call
@@ -196,5 +249,7 @@
 fn say(text: &str) {
     let line = format!("{} {text}\n", now_ms());
     let mut out = std::io::stdout().lock();
-    out.write_all(line.as_bytes()).and_then(|()| out.flush()).unwrap_or_default();
+    out.write_all(line.as_bytes())
+        .and_then(|()| out.flush())
+        .unwrap_or_default();
 }
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -26,7 +26,10 @@
     kit: PathBuf,
     subnet: [u8; 2],
     pub entries: Vec<SocketAddr>,
+    /// The zone of each entry node.
+    entry_zones: Vec<usize>,
     pub controls: Vec<SocketAddr>,
+    /// The processes of the control nodes, then those of the entry nodes.
     children: Vec<Child>,
     servers: Vec<Server>,
 }
@@ -43,6 +46,8 @@
     pub delay_ms: u64,
     /// How long it is cold after its start.
     pub cold_ms: u64,
+    /// The `Server-Limit` that it names, if any.
+    pub limit: Option<&'static str>,
 }
 
 /// A stand-in of a server, in a process of its own.
@@ -65,7 +70,7 @@
 impl World {
     /// Starts the control and entry processes, and waits until the first desired state
     /// is accepted.
-    pub fn start(kit: &Path, entry_count: usize) -> Option<Self> {
+    pub fn start(kit: &Path, entry_zones: &[usize]) -> Option<Self> {
         let subnet = free_subnet()?;
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).ok()?;
@@ -75,16 +80,21 @@
             kit: kit.to_owned(),
             subnet,
             entries: Vec::new(),
+            entry_zones: entry_zones.to_vec(),
             controls: Vec::new(),
             children: Vec::new(),
             servers: Vec::new(),
         };
-        world.controls = (0..CONTROLS).map(|i| world.address(i as u8 + 1, 8_649)).collect();
-        world.entries = (0..entry_count).map(|i| world.address(i as u8 + 11, 8_641)).collect();
+        world.controls = (0..CONTROLS)
+            .map(|i| world.address(i as u8 + 1, 8_649))
+            .collect();
+        world.entries = (0..entry_zones.len())
+            .map(|i| world.address(i as u8 + 11, 8_641))
+            .collect();
         for i in 0..CONTROLS {
             world.start_control(i)?;
         }
-        for i in 0..entry_count {
+        for i in 0..entry_zones.len() {
             world.start_entry(i)?;
         }
         let body = fs::read(kit.join("config.json")).ok()?;
@@ -105,19 +115,68 @@
         let address = self.controls[i];
         let data = self.folder.join(format!("disk-{i}"));
         fs::create_dir_all(&data).ok()?;
-        let listen = format!("{{\"control\":\"{address}\",\"directory\":\"{}\"}}",
-            SocketAddr::new(address.ip(), 8_648));
-        self.start_vm("control", i, address.ip(), &listen, &format!("{:?}", data))
+        let listen = format!(
+            "{{\"control\":\"{address}\",\"directory\":\"{}\"}}",
+            SocketAddr::new(address.ip(), 8_648)
+        );
+        let child = self.start_vm(
+            "control",
+            i,
+            i,
+            address.ip(),
+            &listen,
+            &format!("{:?}", data),
+        )?;
+        self.children.push(child);
+        Some(())
     }
 
     fn start_entry(&mut self, i: usize) -> Option<()> {
         let address = self.entries[i];
-        let listen = format!("{{\"front\":\"{address}\",\"ready\":\"{}\"}}",
-            SocketAddr::new(address.ip(), 8_640));
-        self.start_vm("entry", i, address.ip(), &listen, "null")
+        let listen = format!(
+            "{{\"front\":\"{address}\",\"ready\":\"{}\"}}",
+            SocketAddr::new(address.ip(), 8_640)
+        );
+        let zone = self.entry_zones[i];
+        let child = self.start_vm("entry", i, zone, address.ip(), &listen, "null")?;
+        match self.children.get_mut(CONTROLS + i) {
+            Some(ended) => *ended = child,
+            None => self.children.push(child),
+        }
+        Some(())
+    }
+
+    /// Sends SIGTERM to an entry node.
+    pub fn stop_entry(&mut self, i: usize) {
+        self.note(&format!("SIGTERM entry-{i}"));
+        let id = self.children[CONTROLS + i].id();
+        let command = format!("kill -TERM {id}");
+        Command::new("sh")
+            .args(["-c", &command])
+            .status()
+            .map(drop)
+            .unwrap_or_default();
     }
 
-    fn start_vm(&mut self, role: &str, i: usize, ip: IpAddr, listen: &str, data: &str) -> Option<()> {
+    /// Starts an entry node again if its process has ended. Returns whether it had.
+    pub fn restart_ended(&mut self, i: usize) -> bool {
+        let has_ended = matches!(self.children[CONTROLS + i].try_wait(), Ok(Some(_)));
+        if has_ended {
+            self.note(&format!("starts entry-{i}"));
+            self.start_entry(i).unwrap_or_default();
+        }
+        has_ended
+    }
+
+    fn start_vm(
+        &self,
+        role: &str,
+        i: usize,
+        zone: usize,
+        ip: IpAddr,
+        listen: &str,
+        data: &str,
+    ) -> Option<Child> {
         let is_control = role == "control";
         let seeds: Vec<String> = self.controls.iter().map(|c| format!("\"{c}\"")).collect();
         let text = fs::read_to_string(self.kit.join("settings.json")).ok()?;
@@ -125,10 +184,17 @@
             .replace("@NAME@", &format!("{role}-{i}"))
             .replace("@ROLE@", role)
             .replace("@CLASS@", if is_control { "core" } else { "front" })
-            .replace("@SERVES@", if is_control { "[\"control\",\"directory\"]" } else { "[\"front\"]" })
+            .replace(
+                "@SERVES@",
+                if is_control {
+                    "[\"control\",\"directory\"]"
+                } else {
+                    "[\"front\"]"
+                },
+            )
             .replace("@IP@", &ip.to_string())
-            .replace("@ZONE@", ZONES[i % ZONES.len()])
-            .replace("@REGION@", REGIONS[i % REGIONS.len()])
+            .replace("@ZONE@", ZONES[zone])
+            .replace("@REGION@", REGIONS[zone])
             .replace("@COUNTED@", if is_control { "true" } else { "false" })
             .replace("@BOOTSTRAP@", "true")
             .replace("@DATA@", data)
@@ -137,7 +203,7 @@
         let path = self.folder.join(format!("{role}-{i}.json"));
         fs::write(&path, text).ok()?;
         let log = fs::File::create(self.folder.join(format!("{role}-{i}.log"))).ok()?;
-        let child = Command::new("target/release/pimento-platform")
+        Command::new("target/release/pimento-platform")
             .arg(role)
             .env_clear()
             .env("PIMENTOLANDING_CONFIG", &path)
@@ -145,16 +211,15 @@
             .stdout(log.try_clone().ok()?)
             .stderr(log)
             .spawn()
-            .ok()?;
-        self.children.push(child);
-        Some(())
+            .ok()
     }
 
     /// Sends an order to one control node after the other until it is acknowledged.
     pub fn order(&self, line: &str, body: &[u8]) -> bool {
         for attempt in 0..60 {
             let to = self.controls[attempt % CONTROLS];
-            let head = format!("{line} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\n");
+            let head =
+                format!("{line} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\n");
             let response = http::call(to, &head, body, Duration::from_secs(1));
             let status = response.map_or(0, |r| r.status());
             self.note(&format!("operator {line} answered {status}"));
@@ -169,14 +234,42 @@
 
     /// Starts a server. One of the same id takes the place of the earlier one.
     pub fn start_server(&mut self, id: &str, kind: &ServerKind) {
-        let ServerKind { service, zone, host, work_ms, delay_ms, cold_ms } = *kind;
+        let ServerKind {
+            service,
+            zone,
+            host,
+            work_ms,
+            delay_ms,
+            cold_ms,
+            limit,
+        } = *kind;
         let address = self.address(host, 8_080);
         let controls: Vec<String> = self.controls.iter().map(ToString::to_string).collect();
         let mut child = Command::new(std::env::current_exe().expect("this program"))
             .arg("upstream")
-            .args(["--id", id, "--address", &address.to_string(), "--service", service])
-            .args(["--zone", zone, "--slots", "6", "--work", &work_ms.to_string()])
-            .args(["--delay", &delay_ms.to_string(), "--cold", &cold_ms.to_string()])
+            .args([
+                "--id",
+                id,
+                "--address",
+                &address.to_string(),
+                "--service",
+                service,
+            ])
+            .args([
+                "--zone",
+                zone,
+                "--slots",
+                "6",
+                "--work",
+                &work_ms.to_string(),
+            ])
+            .args([
+                "--delay",
+                &delay_ms.to_string(),
+                "--cold",
+                &cold_ms.to_string(),
+            ])
+            .args(limit.map(|l| ["--limit", l]).into_iter().flatten())
             .args(["--controls", &controls.join(",")])
             .args(["--beat", &self.kit.join("beat.json").to_string_lossy()])
             .stdin(Stdio::piped())
@@ -199,7 +292,10 @@
     }
 
     fn server(&mut self, id: &str) -> &mut Server {
-        self.servers.iter_mut().find(|s| s.id == id).expect("a server")
+        self.servers
+            .iter_mut()
+            .find(|s| s.id == id)
+            .expect("a server")
     }
 
     /// Kills a server's process.
@@ -237,9 +333,8 @@
         let mut record = self.record.lock().unwrap().clone();
         record.sort();
         let start = record.first().map_or(0, |(at, _)| *at);
-        let line = |(at, text): &(u64, String)| {
-            format!("{:9.3} {text}\n", (at - start) as f64 / 1_000.0)
-        };
+        let line =
+            |(at, text): &(u64, String)| format!("{:9.3} {text}\n", (at - start) as f64 / 1_000.0);
         let mut text: String = record.iter().map(line).collect();
         text.push_str(verdict);
         text.push('\n');
